--- /dev/null
+++ b/src/main/java/org/springmill/cli/RunCommand.java
@@ -0,0 +1,49 @@
+package org.springmill.cli;
+
+import java.io.IOException;
+import java.nio.file.Path;
+import java.util.SplittableRandom;
+import java.util.concurrent.Callable;
+import org.springmill.control.coordination.Controller;
+import org.springmill.protocol.Settings;
+import org.springmill.protocol.SettingsException;
+import org.springmill.protocol.SettingsFile;
+import org.springmill.transport.PeerLink;
+import org.springmill.transport.Transport;
+import picocli.CommandLine.Command;
+import picocli.CommandLine.Option;
+
+/** Runs one controller until it is killed. */
+@Command(name = "run", mixinStandardHelpOptions = true, description = "Runs one controller until it is killed.")
+final class RunCommand implements Callable<Integer> {
+    /** Not an exit code: the threads of the transport keep the process going. */
+    static final int KEEPS_RUNNING = -1;
+    static final int BAD_SETTINGS = 2;
+    private static final int CANNOT_START = 1;
+
+    @Option(names = "--config", required = true, paramLabel = "FILE", description = "The platform's settings (TOML).")
+    private Path config;
+
+    @Override
+    public Integer call() {
+        try {
+            start(SettingsFile.read(config));
+            return KEEPS_RUNNING;
+        } catch (SettingsException e) {
+            System.err.println("springmill: " + e.getMessage());
+            return BAD_SETTINGS;
+        } catch (IOException e) {
+            System.err.println("springmill: cannot listen: " + e.getMessage());
+            return CANNOT_START;
+        }
+    }
+
+    static void start(Settings settings) throws IOException {
+        Transport transport = new Transport(settings.limits().maxSockets());
+        PeerLink link = transport.peers(settings.peerListen(), settings.peers());
+        Controller controller = new Controller(settings, transport.loop(), transport.client(), link,
+                new SplittableRandom(System.nanoTime() ^ ProcessHandle.current().pid() << 32 ^ settings.node().hashCode()));
+        transport.loop().after(0, controller::start);
+        transport.serve(settings.listen(), controller);
+    }
+}
--- /dev/null
+++ b/src/main/java/org/springmill/control/coordination/Attempt.java
@@ -0,0 +1,163 @@
+package org.springmill.control.coordination;
+
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
+import org.springmill.control.storage.Claim;
+import org.springmill.protocol.WorkerMessages.Cause;
+
+/** One decision to run a task on a machine, from the claim to the committed proof that it is gone. */
+final class Attempt {
+    private static final Logger LOG = LoggerFactory.getLogger(Attempt.class);
+
+    enum State {
+        /** Placed; the round that claims it is not yet committed. */
+        CLAIMING,
+        /** Committed; no start was sent. */
+        CLAIMED,
+        /** A start was sent and is not confirmed. */
+        SENT,
+        FETCHING,
+        RUNNING,
+        /** Told to stop; it may still run, save, or never have started. */
+        STOPPING,
+        /** Unconfirmed past its window: not sent again, but settled from the worker's reports. */
+        UNKNOWN,
+        /** Known to have ended, or to be gone; the round that says so is not yet committed. */
+        ENDED,
+        /** The end is committed. */
+        GONE;
+
+        private boolean mayBecome(State next) {
+            return switch (next) {
+                case CLAIMING -> false;
+                case CLAIMED -> this == CLAIMING;
+                case SENT -> this == CLAIMED;
+                // A report may show more than one step at once, and a rebuilt claim starts out as unknown.
+                case FETCHING -> this == SENT || this == UNKNOWN;
+                case RUNNING -> this == SENT || this == UNKNOWN || this == FETCHING;
+                case STOPPING -> this == CLAIMED || this == SENT || this == FETCHING || this == RUNNING || this == UNKNOWN;
+                case UNKNOWN -> this == CLAIMING || this == SENT;
+                case ENDED -> this != CLAIMING && this != GONE && this != ENDED;
+                case GONE -> this == ENDED;
+            };
+        }
+    }
+
+    private final Claim claim;
+    private final Job job;
+    private final Machine machine;
+    private State state = State.CLAIMING;
+    private Cause cause = Cause.NONE;
+    private long exposedToken;
+    private long session;
+    private double since;
+    private double nextSend;
+    private double runningSince;
+    private double graceS;
+    private boolean moving;
+
+    Attempt(Claim claim, Job job, Machine machine, double now) {
+        this.claim = claim;
+        this.job = job;
+        this.machine = machine;
+        this.since = now;
+    }
+
+    Claim claim() {
+        return claim;
+    }
+
+    Job job() {
+        return job;
+    }
+
+    Machine machine() {
+        return machine;
+    }
+
+    State state() {
+        return state;
+    }
+
+    Cause cause() {
+        return cause;
+    }
+
+    double since() {
+        return since;
+    }
+
+    double runningSince() {
+        return runningSince;
+    }
+
+    /** The one place where an attempt's state changes; false if the change is not a legal one. */
+    boolean transition(State next, double now) {
+        if (!state.mayBecome(next)) {
+            if (state != next) {
+                LOG.error("{} attempt {} cannot go from {} to {}", claim.task(), claim.round(), state, next);
+            }
+            return false;
+        }
+        LOG.debug("{} attempt {} on {}: {} -> {}", claim.task(), claim.round(), claim.machine(), state, next);
+        state = next;
+        since = now;
+        if (next == State.RUNNING) {
+            runningSince = now;
+        }
+        return true;
+    }
+
+    boolean end(Cause why, double now) {
+        if (!transition(State.ENDED, now)) {
+            return false;
+        }
+        cause = why;
+        return true;
+    }
+
+    boolean live() {
+        return state != State.GONE;
+    }
+
+    /** The highest token that a command to start it may have carried; it cannot start under a higher one. */
+    long exposedToken() {
+        return exposedToken;
+    }
+
+    void exposed(long token, long toSession) {
+        exposedToken = Math.max(exposedToken, token);
+        session = toSession;
+    }
+
+    /** The worker's session its starts were sent to; 0 if an earlier leader sent them. */
+    long session() {
+        return session;
+    }
+
+    double nextSend() {
+        return nextSend;
+    }
+
+    void sendAgainAt(double at) {
+        nextSend = at;
+    }
+
+    double graceS() {
+        return graceS;
+    }
+
+    void grace(double seconds) {
+        graceS = seconds;
+        nextSend = 0;
+    }
+
+    /** Stopped to run elsewhere, so that it should not be stopped for anything else again. */
+    boolean moving() {
+        return moving;
+    }
+
+    void markMoving() {
+        moving = true;
+    }
+}
--- /dev/null
+++ b/src/main/java/org/springmill/control/coordination/Controller.java
@@ -0,0 +1,157 @@
+package org.springmill.control.coordination;
+
+import java.util.HashMap;
+import java.util.Map;
+import java.util.SplittableRandom;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
+import org.springmill.control.storage.JobRecord;
+import org.springmill.control.storage.StateStore;
+import org.springmill.protocol.BadMessageException;
+import org.springmill.protocol.PeerMessages.JobProgress;
+import org.springmill.protocol.PeerMessages.Progress;
+import org.springmill.protocol.PeerMessages.Status;
+import org.springmill.protocol.Settings;
+import org.springmill.protocol.UserMessages;
+import org.springmill.protocol.WorkerMessages;
+import org.springmill.protocol.WorkerMessages.Report;
+import org.springmill.transport.HttpClient;
+import org.springmill.transport.HttpHandler;
+import org.springmill.transport.Loop;
+import org.springmill.transport.PeerLink;
+
+/** One controller: answers users and workers, and leads when it holds the leadership. */
+public final class Controller implements HttpHandler {
+    private static final Logger LOG = LoggerFactory.getLogger(Controller.class);
+    private static final byte[] EMPTY = new byte[0];
+
+    private final HttpClient http;
+    private final Loop loop;
+    private final Settings settings;
+    private final Timing timing;
+    private final StateStore store;
+    private final JobDirectory directory;
+    private final Catalog catalog;
+    private final Peers peers;
+    private final Leadership leadership;
+    private final UserApi users;
+    private Map<String, JobProgress> progress = new HashMap<>();
+    private double progressAt;
+    private Leader leader;
+
+    public Controller(Settings settings, Loop loop, HttpClient http, PeerLink link, SplittableRandom random) {
+        this.settings = settings;
+        this.loop = loop;
+        this.http = http;
+        timing = Timing.of(settings);
+        store = new StateStore(http, loop, settings, timing.stateTimeoutS());
+        directory = new JobDirectory(store, loop, timing);
+        catalog = new Catalog(http, loop, settings);
+        peers = new Peers(link, loop, settings, timing, this::status);
+        String incarnation = Long.toHexString(random.nextLong());
+        leadership = new Leadership(store, loop, settings, timing, peers, incarnation, new Leadership.Listener() {
+            @Override
+            public void gained(long term) {
+                leader = new Leader(store, http, loop, settings, timing, leadership, directory, peers, catalog);
+                leader.start();
+            }
+
+            @Override
+            public void lost() {
+                leader.close();
+                leader = null;
+            }
+        });
+        users = new UserApi(directory, store, catalog, loop, timing, this::progressOf);
+        directory.onChange(this::jobChanged);
+        peers.onProgress(this::progressReceived);
+    }
+
+    public void start() {
+        LOG.info("controller {} in {} starts", settings.node(), settings.zone());
+        peers.start();
+        catalog.start();
+        directory.start();
+        leadership.start();
+    }
+
+    @Override
+    public void handle(Call call) {
+        String path = call.path();
+        if (path.equals(WorkerMessages.REPORT)) {
+            if (call.method().equals("POST")) {
+                report(call);
+            } else {
+                call.reply(405, EMPTY, 0);
+            }
+        } else if (path.equals(UserMessages.READY)) {
+            if (call.method().equals("GET")) {
+                call.reply(ready() ? 200 : 503, EMPTY, 0);
+            } else {
+                call.reply(405, EMPTY, 0);
+            }
+        } else if (path.equals(UserMessages.SUBMISSIONS) || path.startsWith(UserMessages.SUBMISSIONS + "/")) {
+            users.handle(call);
+        } else {
+            call.reply(404, EMPTY, 0);
+        }
+    }
+
+    /**
+     * Whether users should be sent here. In an outage that every controller sees they may as well stay: going away
+     * would only add the balancer's pause to the outage.
+     */
+    private boolean ready() {
+        if (!directory.loaded() || !catalog.known()) {
+            return false;
+        }
+        boolean cutOff = !store.reachable() && loop.now() - store.lastServed() > timing.leaderTtlS() / 2;
+        return !(cutOff && peers.someReachState());
+    }
+
+    private Status status() {
+        return new Status(settings.node(), 0, 0, store.reachable(), leadership.mayAnswer(), leadership.knownTerm());
+    }
+
+    private void report(Call call) {
+        Report report;
+        try {
+            report = WorkerMessages.report(call.body());
+        } catch (BadMessageException e) {
+            call.reply(400, UserMessages.error(e.getMessage()), 0);
+            return;
+        }
+        if (leader != null && leadership.mayAnswer()) {
+            leader.report(call, report);
+            return;
+        }
+        String leads = leadership.leader();
+        if (leader == null && !store.reachable() && peers.allConfirmOutage(leadership.knownTerm())
+                && peers.leadingPeer() == null) {
+            // Nobody can lead now, since nobody reaches the state service: keep the worker's lease, order nothing.
+            call.reply(200, WorkerMessages.reportAnswer(report.token(), java.util.List.of()), 0);
+        } else if (leads != null && !leads.equals(settings.node())) {
+            call.reply(421, WorkerMessages.redirect(leads), 0);
+        } else {
+            call.reply(503, EMPTY, 0);
+        }
+    }
+
+    private void jobChanged(JobRecord job) {
+        if (leader != null) {
+            leader.jobChanged(job);
+        }
+    }
+
+    private JobProgress progressOf(String id) {
+        return leader != null ? leader.progress(id) : progress.get(id);
+    }
+
+    private void progressReceived(Progress received) {
+        if (loop.now() - progressAt > timing.reportS() * 4) {
+            progress = new HashMap<>();
+        }
+        progressAt = loop.now();
+        received.jobs().forEach(p -> progress.put(p.job(), p));
+    }
+}
--- /dev/null
+++ b/src/main/java/org/springmill/control/coordination/Demand.java
@@ -0,0 +1,73 @@
+package org.springmill.control.coordination;
+
+import java.util.ArrayDeque;
+import java.util.ArrayList;
+import java.util.Deque;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import org.springmill.protocol.Settings;
+import org.springmill.protocol.Submission;
+
+/** Measures how fast tasks of each class arrive, to know how much room has to stand ready for them. */
+final class Demand {
+    /** Arrivals are counted over this many boots: long enough to be steady, short enough to follow a burst. */
+    private static final double WINDOW_BOOTS = 3;
+
+    private final Settings settings;
+    private final double windowS;
+    private final double startedAt;
+    private final Map<String, Deque<Double>> arrivals = new HashMap<>();
+    private final Map<String, Submission> latest = new HashMap<>();
+
+    Demand(Settings settings, double bootS, double now) {
+        this.settings = settings;
+        this.windowS = WINDOW_BOOTS * bootS;
+        this.startedAt = now;
+    }
+
+    /** @param counted whether the job arrived just now, rather than being read back from storage */
+    void arrived(Submission job, double now, boolean counted) {
+        latest.put(job.jobClass(), job);
+        if (counted) {
+            Deque<Double> times = arrivals.computeIfAbsent(job.jobClass(), c -> new ArrayDeque<>());
+            for (int i = 0; i < Math.min(job.tasks(), 100); i++) {
+                times.add(now);
+            }
+        }
+    }
+
+    /** Classes that have to start sooner than a machine boots, each with a job to stand for it. */
+    List<Submission> urgent(double bootS) {
+        Set<String> classes = new HashSet<>();
+        for (Settings.Objective objective : settings.objectives()) {
+            if (objective.kind().equals("wait") && objective.withinS() < bootS && objective.jobClass() != null) {
+                classes.add(objective.jobClass());
+            }
+        }
+        List<Submission> jobs = new ArrayList<>();
+        for (String jobClass : classes) {
+            Submission job = latest.get(jobClass);
+            if (job != null) {
+                jobs.add(job);
+            }
+        }
+        return jobs;
+    }
+
+    /** How many tasks of a class to expect while a machine boots, with what chance adds on top. */
+    int expected(String jobClass, double bootS, double now) {
+        Deque<Double> times = arrivals.get(jobClass);
+        if (times == null) {
+            return 1;
+        }
+        while (!times.isEmpty() && times.peek() < now - windowS) {
+            times.poll();
+        }
+        double over = Math.max(bootS, Math.min(windowS, now - startedAt));
+        double mean = times.size() / over * bootS;
+        return (int) Math.ceil(mean + Math.sqrt(mean));
+    }
+}
--- /dev/null
+++ b/src/main/java/org/springmill/control/coordination/Fleet.java
@@ -0,0 +1,95 @@
+package org.springmill.control.coordination;
+
+import java.util.ArrayList;
+import java.util.Collection;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import org.springmill.protocol.WorkerMessages.Cause;
+import org.springmill.protocol.WorkerMessages.Report;
+import org.springmill.transport.Loop;
+
+/** The machines that a leader knows of, with what every part of it needs to act on them. */
+final class Fleet {
+    private final Map<String, Machine> machines = new LinkedHashMap<>();
+    private final Ledger ledger;
+    private final Catalog catalog;
+    private final Loop loop;
+    private final long term;
+
+    Fleet(Ledger ledger, Catalog catalog, Loop loop, long term) {
+        this.ledger = ledger;
+        this.catalog = catalog;
+        this.loop = loop;
+        this.term = term;
+    }
+
+    Collection<Machine> machines() {
+        return machines.values();
+    }
+
+    List<Machine> machinesNow() {
+        return new ArrayList<>(machines.values());
+    }
+
+    Machine find(String name) {
+        return machines.get(name);
+    }
+
+    Machine machine(String name) {
+        return machines.computeIfAbsent(name, n -> new Machine(n, term, loop.now()));
+    }
+
+    Machine machine(Report report) {
+        Machine machine = machine(report.machine());
+        if (machine.type() == null || machine.address().isEmpty()) {
+            machine.describe(report.address(), catalog.get(report.type()), report.zone(), report.spot());
+        }
+        return machine;
+    }
+
+    void forget(Machine machine) {
+        machines.remove(machine.name());
+    }
+
+    long term() {
+        return term;
+    }
+
+    Ledger ledger() {
+        return ledger;
+    }
+
+    Catalog catalog() {
+        return catalog;
+    }
+
+    double now() {
+        return loop.now();
+    }
+
+    /** Notes that an attempt is known to be over; the next round commits it. */
+    void end(Attempt attempt, Cause cause) {
+        if (attempt.end(cause, now())) {
+            ledger.noteEnded(attempt);
+        }
+    }
+
+    /** Has an attempt stopped; what never was sent ends at once. */
+    void stop(Attempt attempt, double graceS) {
+        switch (attempt.state()) {
+            case CLAIMED -> end(attempt, Cause.STOPPED);
+            case SENT, FETCHING, RUNNING, UNKNOWN -> {
+                attempt.transition(Attempt.State.STOPPING, now());
+                attempt.grace(graceS);
+            }
+            case STOPPING -> {
+                if (graceS < attempt.graceS()) {
+                    attempt.grace(graceS);
+                }
+            }
+            // While its round is being committed it can only be dropped afterwards; see Rounds.
+            case CLAIMING, ENDED, GONE -> { }
+        }
+    }
+}
--- /dev/null
+++ b/src/main/java/org/springmill/control/coordination/Job.java
@@ -0,0 +1,205 @@
+package org.springmill.control.coordination;
+
+import java.util.ArrayDeque;
+import java.util.BitSet;
+import java.util.HashSet;
+import java.util.Set;
+import org.agrona.collections.Int2ObjectHashMap;
+import org.springmill.protocol.Submission;
+import org.springmill.protocol.UserMessages.Phase;
+
+/** A job as its leader sees it: which tasks are done, which are claimed, which wait. */
+final class Job {
+    private final Submission spec;
+    private final long arrival;
+    private final BitSet done = new BitSet();
+    private final Int2ObjectHashMap<Attempt> live = new Int2ObjectHashMap<>();
+    private final ArrayDeque<Integer> returned = new ArrayDeque<>();
+    private final Set<String> failedOn = new HashSet<>();
+    private int fresh;
+    private Phase phase = Phase.QUEUED;
+    private long version;
+    private double endedAt;
+    private double notBefore;
+    private int failures;
+    private boolean ending;
+
+    Job(Submission spec, long version) {
+        this.spec = spec;
+        this.arrival = version;
+        this.version = version;
+    }
+
+    Submission spec() {
+        return spec;
+    }
+
+    String id() {
+        return spec.id();
+    }
+
+    /** Revision at which the job was accepted: jobs are served in this order. */
+    long arrival() {
+        return arrival;
+    }
+
+    long version() {
+        return version;
+    }
+
+    Phase phase() {
+        return phase;
+    }
+
+    double endedAt() {
+        return endedAt;
+    }
+
+    void end(Phase terminal, long newVersion, double now) {
+        phase = terminal;
+        version = newVersion;
+        endedAt = now;
+    }
+
+    boolean active() {
+        return !phase.terminal();
+    }
+
+    Iterable<Attempt> attempts() {
+        return live.values();
+    }
+
+    int liveCount() {
+        return live.size();
+    }
+
+    int doneCount() {
+        return done.cardinality();
+    }
+
+    boolean complete() {
+        return !spec.service() && done.cardinality() == spec.tasks();
+    }
+
+    /** True once, when the job is found complete. */
+    boolean beginEnding() {
+        boolean first = !ending;
+        ending = true;
+        return first;
+    }
+
+    void markDone(BitSet tasks) {
+        done.or(tasks);
+    }
+
+    void markDone(int task) {
+        done.set(task);
+    }
+
+    /** The next task that is neither done nor claimed, or -1. Tasks come in order, those given back first. */
+    int nextTask() {
+        while (!returned.isEmpty()) {
+            int task = returned.peek();
+            if (!done.get(task) && !live.containsKey(task)) {
+                return task;
+            }
+            returned.poll();
+        }
+        while (fresh < spec.tasks() && (done.get(fresh) || live.containsKey(fresh))) {
+            fresh++;
+        }
+        return fresh < spec.tasks() ? fresh : -1;
+    }
+
+    int waiting() {
+        return active() ? spec.tasks() - done.cardinality() - liveNotDone() : 0;
+    }
+
+    private int liveNotDone() {
+        int count = 0;
+        for (Attempt attempt : live.values()) {
+            if (!done.get(attempt.claim().task().index())) {
+                count++;
+            }
+        }
+        return count;
+    }
+
+    void add(Attempt attempt) {
+        live.put(attempt.claim().task().index(), attempt);
+    }
+
+    void remove(Attempt attempt) {
+        int task = attempt.claim().task().index();
+        if (live.remove(task) != null) {
+            returned.add(task);
+        }
+    }
+
+    Attempt attempt(int task) {
+        return live.get(task);
+    }
+
+    /**
+     * Whether one more task may go to a zone, counting every task not proven gone. Where a task's machine is not yet
+     * known to this leader, the task counts in every zone.
+     */
+    boolean zoneAllows(String zone) {
+        if (spec.zone() != null && !spec.zone().equals(zone)) {
+            return false;
+        }
+        if (!spec.oneZone() && !spec.spread()) {
+            return true;
+        }
+        int here = 0;
+        for (Attempt attempt : live.values()) {
+            String other = attempt.machine().zone();
+            if (other.isEmpty() || other.equals(zone)) {
+                here++;
+            }
+            if (spec.oneZone() && !other.equals(zone)) {
+                return false;
+            }
+        }
+        return here < spec.perZone();
+    }
+
+    int inZone(String zone) {
+        int here = 0;
+        for (Attempt attempt : live.values()) {
+            if (attempt.machine().zone().equals(zone)) {
+                here++;
+            }
+        }
+        return here;
+    }
+
+    double notBefore() {
+        return notBefore;
+    }
+
+    /** A job that fails on one machine after the other is at fault itself and waits longer each time. */
+    void failedOn(String machine, double now, double stepS) {
+        failedOn.add(machine);
+        failures++;
+        if (failedOn.size() > 1) {
+            notBefore = now + stepS * Math.min(32, 1 << Math.min(5, failedOn.size() - 2));
+        }
+    }
+
+    boolean hasFailedOn(String machine) {
+        return failedOn.contains(machine);
+    }
+
+    int machinesFailedOn() {
+        return failedOn.size();
+    }
+
+    int failures() {
+        return failures;
+    }
+
+    void succeeded() {
+        failedOn.clear();
+    }
+}
--- /dev/null
+++ b/src/main/java/org/springmill/control/coordination/Leader.java
@@ -0,0 +1,349 @@
+package org.springmill.control.coordination;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.BitSet;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
+import org.springmill.control.storage.Claim;
+import org.springmill.control.storage.JobRecord;
+import org.springmill.control.storage.RoundLog;
+import org.springmill.control.storage.StateStore;
+import org.springmill.control.storage.StateStore.Outcome;
+import org.springmill.protocol.PeerMessages.JobProgress;
+import org.springmill.protocol.PeerMessages.Progress;
+import org.springmill.protocol.Settings;
+import org.springmill.protocol.StateMessages.Condition;
+import org.springmill.protocol.StateMessages.Write;
+import org.springmill.protocol.UserMessages.Phase;
+import org.springmill.protocol.WorkerMessages;
+import org.springmill.protocol.WorkerMessages.Command;
+import org.springmill.protocol.WorkerMessages.Report;
+import org.springmill.transport.HttpClient;
+import org.springmill.transport.HttpHandler.Call;
+import org.springmill.transport.Loop;
+
+/** One term of leadership: everything a leader knows, rebuilt at its start and thrown away at its end. */
+final class Leader {
+    private static final Logger LOG = LoggerFactory.getLogger(Leader.class);
+
+    private final StateStore store;
+    private final Loop loop;
+    private final Settings settings;
+    private final Timing timing;
+    private final Leadership leadership;
+    private final JobDirectory directory;
+    private final Peers peers;
+    private final Catalog catalog;
+    private final Ledger ledger;
+    private final Fleet fleet;
+    private final RoundLog log;
+    private final Orders orders;
+    private final Settling settling;
+    private final Rounds rounds;
+    private final Rentals rentals;
+    private final Demand demand;
+    private boolean rebuilt;
+    private boolean closed;
+
+    Leader(StateStore store, HttpClient http, Loop loop, Settings settings, Timing timing, Leadership leadership,
+            JobDirectory directory, Peers peers, Catalog catalog) {
+        this.store = store;
+        this.loop = loop;
+        this.settings = settings;
+        this.timing = timing;
+        this.leadership = leadership;
+        this.directory = directory;
+        this.peers = peers;
+        this.catalog = catalog;
+        ledger = new Ledger(settings);
+        fleet = new Fleet(ledger, catalog, loop, leadership.term());
+        log = new RoundLog(store, loop, leadership.condition(), id -> ledger.job(id) != null && ledger.job(id).active());
+        settling = new Settling(fleet, timing, peers, this::wake, leadership::deposed);
+        orders = new Orders(fleet, http, timing, settling::accept);
+        Placement placement = new Placement(fleet, timing);
+        rounds = new Rounds(fleet, placement, log, leadership, loop, 4 / settings.state().writesPerS(),
+                new Rounds.Listener() {
+                    @Override
+                    public void committed(List<Attempt> claimed, List<Attempt> ended) {
+                        roundCommitted(claimed, ended);
+                    }
+
+                    @Override
+                    public void lost() {
+                        leadership.deposed("a round was refused");
+                    }
+                });
+        demand = new Demand(settings, timing.leaseS() * 3, loop.now());
+        rentals = new Rentals(fleet, placement, demand, http, loop, settings, timing, this::wake);
+    }
+
+    void close() {
+        closed = true;
+        log.close();
+        orders.close();
+        rounds.close();
+        rentals.close();
+    }
+
+    /** Rebuilds what earlier leaders committed. Reports are answered from the first moment, to keep leases alive. */
+    void start() {
+        directory.barrier(current -> {
+            if (closed) {
+                return;
+            }
+            if (!current || !catalog.known()) {
+                loop.after(timing.pingS(), this::start);
+                return;
+            }
+            log.load(found -> {
+                if (closed) {
+                    return;
+                }
+                if (found == null) {
+                    loop.after(timing.pingS(), this::start);
+                    return;
+                }
+                rebuild(found);
+            });
+        });
+    }
+
+    private void rebuild(RoundLog.Rebuilt found) {
+        double now = loop.now();
+        List<JobRecord> active = new ArrayList<>();
+        for (JobRecord record : directory.all()) {
+            if (record.active()) {
+                active.add(record);
+            }
+        }
+        active.sort(java.util.Comparator.comparingLong(JobRecord::version));
+        for (JobRecord record : active) {
+            Job job = new Job(record.submission(), record.version());
+            BitSet done = found.done().get(record.id());
+            if (done != null) {
+                job.markDone(done);
+            }
+            ledger.add(job);
+            demand.arrived(record.submission(), now, false);
+        }
+        for (Claim claim : found.live()) {
+            Job known = ledger.job(claim.task().job());
+            Job job = known == null ? endedJob(claim.task().job()) : known;
+            Machine machine = fleet.machine(claim.machine());
+            Attempt attempt = new Attempt(claim, job, machine, now);
+            attempt.exposed(machine.token() - 1, 0);
+            ledger.add(attempt);
+            attempt.transition(Attempt.State.UNKNOWN, now);
+            ledger.claimed(attempt);
+            if (!job.active()) {
+                fleet.stop(attempt, 0);
+            }
+        }
+        rebuilt = true;
+        LOG.info("term {}: {} active jobs, {} claims in {} rounds", fleet.term(), active.size(), found.live().size(),
+                log.rounds());
+        rentals.start();
+        for (Machine machine : fleet.machinesNow()) {
+            machine.askAgain = true;
+            orders.poke(machine);
+        }
+        for (Job job : new ArrayList<>(ledger.jobs().values())) {
+            finishIfComplete(job);
+        }
+        rounds.request();
+        tick();
+        broadcast();
+    }
+
+    /** A job that ended while tasks of it may still be on machines: they count until they are proven gone. */
+    private Job endedJob(String id) {
+        JobRecord record = directory.get(id);
+        Job job = new Job(record.submission(), record.version());
+        job.end(record.phase(), record.version(), loop.now());
+        ledger.add(job);
+        return job;
+    }
+
+    private void tick() {
+        if (closed) {
+            return;
+        }
+        loop.after(timing.reportS() / 8, this::tick);
+        leadership.state();
+        if (closed || !leadership.mayAnswer()) {
+            return;
+        }
+        settling.tick();
+        for (Machine machine : fleet.machinesNow()) {
+            orders.poke(machine);
+            if (machine.state() == Machine.State.GONE && machine.attempts().isEmpty()) {
+                fleet.forget(machine);
+            }
+        }
+        if (leadership.mayPlace()) {
+            cancelOverdue();
+            rentals.tick();
+            rounds.request();
+        }
+    }
+
+    /** A cancelled task that cannot be stopped in time goes with its machine. */
+    private void cancelOverdue() {
+        for (Job job : ledger.jobs().values()) {
+            if (!job.active() && job.liveCount() > 0 && loop.now() - job.endedAt() > timing.cancelDeleteS()) {
+                for (Attempt attempt : job.attempts()) {
+                    if (attempt.state() == Attempt.State.STOPPING) {
+                        rentals.giveBack(attempt.machine(), "a cancelled task on it cannot be stopped");
+                    }
+                }
+            }
+        }
+    }
+
+    private void wake() {
+        if (!closed && rebuilt) {
+            rounds.request();
+        }
+    }
+
+    /** A job record has changed, here or at another controller. */
+    void jobChanged(JobRecord record) {
+        if (closed || !rebuilt) {
+            return;
+        }
+        Job job = ledger.job(record.id());
+        if (job == null) {
+            if (record.active()) {
+                ledger.add(new Job(record.submission(), record.version()));
+                demand.arrived(record.submission(), loop.now(), true);
+                rounds.request();
+            }
+            return;
+        }
+        if (!record.active() && job.active()) {
+            job.end(record.phase(), record.version(), loop.now());
+            for (Attempt attempt : new ArrayList<>(iterate(job))) {
+                fleet.stop(attempt, 0);
+                orders.poke(attempt.machine());
+            }
+            dropIfOver(job);
+            rounds.request();
+        }
+    }
+
+    private static List<Attempt> iterate(Job job) {
+        List<Attempt> attempts = new ArrayList<>();
+        job.attempts().forEach(attempts::add);
+        return attempts;
+    }
+
+    private void dropIfOver(Job job) {
+        if (!job.active() && job.liveCount() == 0) {
+            ledger.dropJob(job);
+        }
+    }
+
+    private void roundCommitted(List<Attempt> claimed, List<Attempt> ended) {
+        for (Attempt attempt : claimed) {
+            orders.poke(attempt.machine());
+        }
+        for (Attempt attempt : ended) {
+            orders.poke(attempt.machine());
+            finishIfComplete(attempt.job());
+            dropIfOver(attempt.job());
+        }
+    }
+
+    private void finishIfComplete(Job job) {
+        if (job.active() && job.complete() && job.beginEnding()) {
+            writeDone(job);
+        }
+    }
+
+    /** The job's record decides between done and cancelled: whichever is written first stays. */
+    private void writeDone(Job job) {
+        if (closed || !job.active()) {
+            return;
+        }
+        var value = JobRecord.encode(job.spec(), Phase.DONE);
+        store.commit(List.of(leadership.condition(), new Condition(JobRecord.key(job.id()), job.version())),
+                List.of(Write.put(JobRecord.key(job.id()), value)), result -> {
+                    if (closed) {
+                        return;
+                    }
+                    if (result.outcome() == Outcome.COMMITTED) {
+                        directory.learn(new JobRecord(job.id(), job.spec(), Phase.DONE, result.revision()));
+                    } else if (result.outcome() == Outcome.REFUSED) {
+                        // Cancelled meanwhile, or an earlier copy of this write was applied: the record tells.
+                        directory.barrier(ok -> {
+                            if (job.active()) {
+                                loop.after(timing.renewS(), () -> writeDone(job));
+                            }
+                        });
+                    } else {
+                        loop.after(timing.pingS(), () -> writeDone(job));
+                    }
+                });
+    }
+
+    /** Answers a worker's report. */
+    void report(Call call, Report report) {
+        Machine machine = fleet.machine(report);
+        if (!machine.isLatestReport(report)) {
+            // A late copy: whoever sent it waits no longer, and its answer must not count as a renewal.
+            call.reply(503, WorkerMessages.redirect(null), 0);
+            return;
+        }
+        if (rebuilt) {
+            settling.accept(machine, report);
+        }
+        if (closed) {
+            call.reply(421, WorkerMessages.redirect(null), 0);
+            return;
+        }
+        machine.tookReport(report);
+        machine.answered(loop.now());
+        List<Command> commands = List.of();
+        if (rebuilt && machine.ordersFailing() && !machine.ordersInFlight && report.session() == machine.session()) {
+            commands = orders.due(machine);
+        }
+        call.reply(200, WorkerMessages.reportAnswer(machine.token(), commands), 0);
+        if (rebuilt) {
+            orders.poke(machine);
+        }
+    }
+
+    /** Phase and counts of an active job, as its leader knows them; null if it is not known. */
+    JobProgress progress(String id) {
+        Job job = rebuilt ? ledger.job(id) : null;
+        return job == null ? null : progress(job);
+    }
+
+    private static JobProgress progress(Job job) {
+        int running = 0;
+        for (Attempt attempt : job.attempts()) {
+            if (attempt.state() == Attempt.State.RUNNING) {
+                running++;
+            }
+        }
+        return new JobProgress(job.id(), job.doneCount(), running);
+    }
+
+    private void broadcast() {
+        if (closed) {
+            return;
+        }
+        List<JobProgress> jobs = new ArrayList<>();
+        for (Job job : ledger.jobs().values()) {
+            if (job.active() && job.liveCount() + job.doneCount() > 0) {
+                jobs.add(progress(job));
+            }
+        }
+        for (int from = 0; from < jobs.size(); from += Progress.MOST) {
+            peers.broadcast(new Progress(settings.node(), fleet.term(),
+                    jobs.subList(from, Math.min(jobs.size(), from + Progress.MOST))));
+        }
+        loop.after(timing.reportS(), this::broadcast);
+    }
+}
--- /dev/null
+++ b/src/main/java/org/springmill/control/coordination/Ledger.java
@@ -0,0 +1,124 @@
+package org.springmill.control.coordination;
+
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.LinkedHashMap;
+import java.util.LinkedHashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import org.springmill.protocol.Settings;
+import org.springmill.protocol.Submission;
+
+/** All jobs and attempts that count: everything not proven gone is held against team limits, zones and machines. */
+final class Ledger {
+    private final Settings settings;
+    private final Map<String, Job> jobs = new LinkedHashMap<>();
+    private final Map<String, Usage> teams = new HashMap<>();
+    private final Set<Attempt> ended = new LinkedHashSet<>();
+    private final Set<Attempt> claiming = new LinkedHashSet<>();
+
+    /** What a team's attempts take. */
+    static final class Usage {
+        private final Settings.Team team;
+        private double cpus;
+        private double gpus;
+
+        Usage(Settings.Team team) {
+            this.team = team;
+        }
+
+        boolean allows(Submission spec) {
+            return team.withinLimit(cpus + spec.cpus(), gpus + spec.gpus());
+        }
+
+        boolean guaranteedFor(Submission spec) {
+            return team.withinGuarantee(cpus + spec.cpus(), gpus + spec.gpus());
+        }
+
+        /** Whether the team runs above its guarantee, so that it may have to give something back. */
+        boolean aboveGuarantee() {
+            return !team.withinGuarantee(cpus, gpus);
+        }
+
+        int roomFor(Submission spec) {
+            double byCpus = team.cpusMax() == 0 || spec.cpus() == 0 ? 1e9 : (team.cpusMax() - cpus + 1e-6) / spec.cpus();
+            double byGpus = team.gpusMax() == 0 || spec.gpus() == 0 ? 1e9 : (team.gpusMax() - gpus + 1e-6) / spec.gpus();
+            return (int) Math.max(0, Math.floor(Math.min(byCpus, byGpus)));
+        }
+    }
+
+    Ledger(Settings settings) {
+        this.settings = settings;
+        settings.teams().forEach(team -> teams.put(team.name(), new Usage(team)));
+    }
+
+    Map<String, Job> jobs() {
+        return jobs;
+    }
+
+    Job job(String id) {
+        return jobs.get(id);
+    }
+
+    void add(Job job) {
+        jobs.put(job.id(), job);
+    }
+
+    void dropJob(Job job) {
+        jobs.remove(job.id());
+    }
+
+    /** A job of a team that has since left the settings may run nothing new, and what it runs is still counted. */
+    Usage usage(String team) {
+        return teams.computeIfAbsent(team, name -> new Usage(new Settings.Team(name, 0, 1e-9, 0, 1e-9)));
+    }
+
+    void add(Attempt attempt) {
+        attempt.job().add(attempt);
+        attempt.machine().add(attempt);
+        charge(attempt, 1);
+        if (attempt.state() == Attempt.State.CLAIMING) {
+            claiming.add(attempt);
+        }
+    }
+
+    /** Takes an attempt out once its end is committed. */
+    void remove(Attempt attempt, double now) {
+        ended.remove(attempt);
+        claiming.remove(attempt);
+        attempt.job().remove(attempt);
+        attempt.machine().remove(attempt, now);
+        charge(attempt, -1);
+    }
+
+    private void charge(Attempt attempt, int sign) {
+        Usage usage = usage(attempt.job().spec().team());
+        usage.cpus += sign * attempt.job().spec().cpus();
+        usage.gpus += sign * attempt.job().spec().gpus();
+    }
+
+    void noteEnded(Attempt attempt) {
+        ended.add(attempt);
+    }
+
+    List<Attempt> takeEnded(int most) {
+        List<Attempt> taken = new ArrayList<>();
+        for (Attempt attempt : ended) {
+            if (taken.size() == most) {
+                break;
+            }
+            taken.add(attempt);
+        }
+        ended.removeAll(taken);
+        return taken;
+    }
+
+    boolean hasEnded() {
+        return !ended.isEmpty();
+    }
+
+    void claimed(Attempt attempt) {
+        claiming.remove(attempt);
+    }
+}
--- /dev/null
+++ b/src/main/java/org/springmill/control/coordination/Machine.java
@@ -0,0 +1,342 @@
+package org.springmill.control.coordination;
+
+import java.util.ArrayList;
+import java.util.Collection;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
+import org.springmill.protocol.CloudMessages.MachineType;
+import org.springmill.protocol.Submission;
+import org.springmill.protocol.WorkerMessages.Report;
+import org.springmill.protocol.WorkerMessages.TaskReport;
+
+/** A rented machine with its worker, its attempts and what this leader's messages with it prove. */
+final class Machine {
+    private static final Logger LOG = LoggerFactory.getLogger(Machine.class);
+    private static final int COUNTER_BITS = 20;
+
+    enum State {
+        /** Rented or listed; its worker has not reported to this leader. */
+        EXPECTED,
+        UP,
+        /** No lease of its worker can still hold: whatever it ran is gone. */
+        LOST,
+        /** Its deletion was asked for. */
+        RETURNING,
+        /** Deleted, or failed on its own. */
+        GONE
+    }
+
+    private final String name;
+    private final Map<String, Attempt> attempts = new LinkedHashMap<>();
+    private final Map<String, Double> images = new HashMap<>();
+    private final Set<String> errorJobs = new HashSet<>();
+    private State state = State.EXPECTED;
+    private String address = "";
+    private MachineType type;
+    private String zone = "";
+    private boolean spot;
+    private long token;
+    private long seenToken;
+    private long session;
+    private long seq;
+    private long lastReportSeq;
+    private double lastAnswered = Double.NEGATIVE_INFINITY;
+    private double lastHeard = Double.NEGATIVE_INFINITY;
+    private double firstSeen;
+    private double idleSince;
+    private double noticeAt = Double.POSITIVE_INFINITY;
+    private double ordersFailedSince = Double.POSITIVE_INFINITY;
+    private double avoidUntil = Double.NEGATIVE_INFINITY;
+    private List<TaskReport> reported = List.of();
+    private boolean quarantined;
+    private boolean draining;
+    private double usedCpus;
+    private double usedGpus;
+    private double usedMemory;
+
+    // The sending of commands; see Orders.
+    boolean ordersInFlight;
+    boolean askAgain;
+    double nextOrders;
+    double nextStray;
+
+    Machine(String name, long term, double now) {
+        this.name = name;
+        this.token = (term << COUNTER_BITS) + 1;
+        this.firstSeen = now;
+        this.idleSince = now;
+    }
+
+    /** The term that a token belongs to. */
+    static long termOf(long token) {
+        return token >>> COUNTER_BITS;
+    }
+
+    String name() {
+        return name;
+    }
+
+    State state() {
+        return state;
+    }
+
+    /** The one place where a machine's state changes. */
+    void transition(State next) {
+        boolean legal = switch (next) {
+            case EXPECTED -> false;
+            case UP -> state == State.EXPECTED || state == State.LOST;
+            case LOST -> state == State.UP || state == State.EXPECTED;
+            case RETURNING -> state != State.GONE;
+            case GONE -> true;
+        };
+        if (state == next) {
+            return;
+        }
+        if (!legal) {
+            LOG.error("machine {} cannot go from {} to {}", name, state, next);
+            return;
+        }
+        LOG.info("machine {} ({} {}{}): {} -> {}", name, type == null ? "?" : type.name(), zone, spot ? " spot" : "",
+                state, next);
+        state = next;
+    }
+
+    void describe(String newAddress, MachineType newType, String newZone, boolean newSpot) {
+        address = newAddress;
+        type = newType;
+        zone = newZone;
+        spot = newSpot;
+    }
+
+    String address() {
+        return address;
+    }
+
+    MachineType type() {
+        return type;
+    }
+
+    String zone() {
+        return zone;
+    }
+
+    boolean spot() {
+        return spot;
+    }
+
+    double firstSeen() {
+        return firstSeen;
+    }
+
+    double idleSince() {
+        return idleSince;
+    }
+
+    long token() {
+        return token;
+    }
+
+    /** From now on every command still held up by the network is void once the worker has seen the new token. */
+    void raiseToken() {
+        token++;
+    }
+
+    /** Another copy of this term's tokens is out: never fall behind it. */
+    void adoptToken(long seen) {
+        token = Math.max(token, seen);
+    }
+
+    long seenToken() {
+        return seenToken;
+    }
+
+    long session() {
+        return session;
+    }
+
+    boolean isNews(Report report) {
+        return report.newerThan(session, seq);
+    }
+
+    /** Whether the worker may be waiting for the answer: it never sends a report before it is done with the last. */
+    boolean isLatestReport(Report report) {
+        return report.session() > session || report.session() == session && report.seq() > lastReportSeq;
+    }
+
+    void tookReport(Report report) {
+        if (report.session() > session) {
+            lastReportSeq = report.seq();
+        } else {
+            lastReportSeq = Math.max(lastReportSeq, report.seq());
+        }
+    }
+
+    void take(Report report, double now) {
+        if (report.session() > session) {
+            lastReportSeq = 0;
+        }
+        session = report.session();
+        seq = report.seq();
+        seenToken = Math.max(seenToken, report.token());
+        lastHeard = now;
+        reported = report.tasks();
+        noticeAt = report.noticeS() == null ? Double.POSITIVE_INFINITY : now + report.noticeS();
+    }
+
+    List<TaskReport> reported() {
+        return reported;
+    }
+
+    void answered(double now) {
+        lastAnswered = now;
+    }
+
+    double lastAnswered() {
+        return lastAnswered;
+    }
+
+    double lastHeard() {
+        return lastHeard;
+    }
+
+    boolean noticed() {
+        return noticeAt < Double.POSITIVE_INFINITY;
+    }
+
+    double noticeAt() {
+        return noticeAt;
+    }
+
+    void ordersFailed(double now) {
+        ordersFailedSince = Math.min(ordersFailedSince, now);
+    }
+
+    void ordersWorked() {
+        ordersFailedSince = Double.POSITIVE_INFINITY;
+    }
+
+    boolean ordersFailing() {
+        return ordersFailedSince < Double.POSITIVE_INFINITY;
+    }
+
+    double ordersFailedSince() {
+        return ordersFailedSince;
+    }
+
+    void avoidUntil(double time) {
+        avoidUntil = Math.max(avoidUntil, time);
+    }
+
+    boolean quarantined() {
+        return quarantined;
+    }
+
+    void quarantine() {
+        quarantined = true;
+    }
+
+    boolean draining() {
+        return draining;
+    }
+
+    void drain() {
+        draining = true;
+    }
+
+    /** Counts jobs that failed here without another having succeeded in between. */
+    int errored(String job) {
+        errorJobs.add(job);
+        return errorJobs.size();
+    }
+
+    void worked() {
+        errorJobs.clear();
+    }
+
+    Collection<Attempt> attempts() {
+        return attempts.values();
+    }
+
+    List<Attempt> attemptsNow() {
+        return new ArrayList<>(attempts.values());
+    }
+
+    Attempt find(TaskReport task) {
+        Attempt attempt = attempts.get(task.task().toString());
+        return attempt != null && attempt.claim().round() == task.attempt() ? attempt : null;
+    }
+
+    void add(Attempt attempt) {
+        attempts.put(attempt.claim().task().toString(), attempt);
+        charge(attempt.job().spec(), 1);
+    }
+
+    void remove(Attempt attempt, double now) {
+        if (attempts.remove(attempt.claim().task().toString(), attempt)) {
+            charge(attempt.job().spec(), -1);
+            if (attempts.isEmpty()) {
+                idleSince = now;
+                usedCpus = 0;
+                usedGpus = 0;
+                usedMemory = 0;
+            }
+        }
+    }
+
+    private void charge(Submission spec, int sign) {
+        usedCpus += sign * spec.cpus();
+        usedGpus += sign * spec.gpus();
+        usedMemory += sign * spec.memoryGb();
+    }
+
+    double freeCpus() {
+        return type == null ? 0 : type.cpus() - usedCpus;
+    }
+
+    double freeGpus() {
+        return type == null ? 0 : type.gpus() - usedGpus;
+    }
+
+    double freeMemory() {
+        return type == null ? 0 : type.memoryGb() - usedMemory;
+    }
+
+    boolean hasRoom(Submission spec) {
+        return spec.cpus() <= freeCpus() + 1e-6 && spec.gpus() <= freeGpus() + 1e-6
+                && spec.memoryGb() <= freeMemory() + 1e-6;
+    }
+
+    /** Whether this kind of machine is one that the job may run on. */
+    boolean suits(Submission spec) {
+        return type != null && type.fits(spec) && (!spot || spec.spot())
+                && (spec.zone() == null || spec.zone().equals(zone));
+    }
+
+    /** Whether new work may be sent here at all. */
+    boolean takesWork(double now, double quietS) {
+        return state == State.UP && !noticed() && !quarantined && !draining && !ordersFailing()
+                && now - lastHeard < quietS && now >= avoidUntil && termOf(seenToken) == termOf(token);
+    }
+
+    /** Notes that an image is being fetched here, or used; the least recently used ones fall out of the cache. */
+    void usesImage(Submission spec, double now) {
+        images.put(spec.image(), now);
+        while (images.size() * spec.imageGb() > Math.max(type == null ? 0 : type.cacheGb(), spec.imageGb())) {
+            images.entrySet().stream().min(Map.Entry.comparingByValue()).ifPresent(e -> images.remove(e.getKey()));
+        }
+    }
+
+    boolean holdsImage(String image) {
+        return images.containsKey(image);
+    }
+
+    void forgetImages() {
+        images.clear();
+    }
+}
--- /dev/null
+++ b/src/main/java/org/springmill/control/coordination/Placement.java
@@ -0,0 +1,214 @@
+package org.springmill.control.coordination;
+
+import java.util.ArrayList;
+import java.util.Comparator;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import org.springmill.control.storage.Claim;
+import org.springmill.protocol.Submission;
+import org.springmill.protocol.TaskId;
+
+/** Chooses machines for waiting tasks, and what to stop for those that find none. */
+final class Placement {
+    private final Fleet fleet;
+    private final Timing timing;
+
+    Placement(Fleet fleet, Timing timing) {
+        this.fleet = fleet;
+        this.timing = timing;
+    }
+
+    /** Jobs with waiting tasks, in the order in which they are served. */
+    List<Job> waiting() {
+        List<Job> waiting = new ArrayList<>();
+        for (Job job : fleet.ledger().jobs().values()) {
+            if (job.active() && job.nextTask() >= 0) {
+                waiting.add(job);
+            }
+        }
+        Map<Job, Boolean> guaranteed = new HashMap<>();
+        waiting.forEach(job -> guaranteed.put(job, usage(job).guaranteedFor(job.spec())));
+        waiting.sort(Comparator.comparing((Job job) -> job.spec().priority())
+                .thenComparing(job -> !guaranteed.get(job))
+                .thenComparing(job -> !job.spec().service())
+                .thenComparingLong(Job::arrival));
+        return waiting;
+    }
+
+    private Ledger.Usage usage(Job job) {
+        return fleet.ledger().usage(job.spec().team());
+    }
+
+    /** Places waiting tasks, at most so many; adds the attempts to the ledger and returns them. */
+    List<Attempt> place(long round, int most) {
+        double now = fleet.now();
+        List<Attempt> placed = new ArrayList<>();
+        for (Job job : waiting()) {
+            if (now < job.notBefore()) {
+                continue;
+            }
+            while (placed.size() < most) {
+                int task = job.nextTask();
+                if (task < 0 || !usage(job).allows(job.spec())) {
+                    break;
+                }
+                Machine machine = choose(job);
+                if (machine == null) {
+                    break;
+                }
+                Claim claim = Claim.decide(new TaskId(job.id(), task), machine.name(), round);
+                Attempt attempt = new Attempt(claim, job, machine, now);
+                fleet.ledger().add(attempt);
+                machine.usesImage(job.spec(), now);
+                placed.add(attempt);
+            }
+        }
+        return placed;
+    }
+
+    private boolean eligible(Job job, Machine machine, double now) {
+        return machine.takesWork(now, timing.quietS()) && machine.suits(job.spec())
+                && !job.hasFailedOn(machine.name()) && job.zoneAllows(machine.zone());
+    }
+
+    /** A holder of the image first, then the quickest fetch; among equals the one with most free room. */
+    private Machine choose(Job job) {
+        double now = fleet.now();
+        Machine best = null;
+        double bestScore = Double.POSITIVE_INFINITY;
+        for (Machine machine : fleet.machines()) {
+            if (!machine.hasRoom(job.spec()) || !eligible(job, machine, now)) {
+                continue;
+            }
+            double score = score(job, machine, now);
+            if (score < bestScore) {
+                best = machine;
+                bestScore = score;
+            }
+        }
+        return best;
+    }
+
+    private double score(Job job, Machine machine, double now) {
+        Submission spec = job.spec();
+        double fetchS = machine.holdsImage(spec.image()) ? 0
+                : 1 + spec.imageGb() / Math.max(1e-3, machine.type().fetchGbPerS());
+        double score = fetchS;
+        // Late reports are the first sign of trouble.
+        if (now - machine.lastHeard() > timing.reportS() * 1.3) {
+            score += 10;
+        }
+        if (spec.service() && spec.tasks() > 1) {
+            score += job.inZone(machine.zone()) * 0.5;
+        }
+        return score - roomShare(machine) * 0.4;
+    }
+
+    private static double roomShare(Machine machine) {
+        double cpus = machine.freeCpus() / Math.max(1e-6, machine.type().cpus());
+        return machine.type().gpus() == 0 ? cpus : Math.min(cpus, machine.freeGpus() / machine.type().gpus());
+    }
+
+    /** Stops work of lower right where a waiting job finds no place otherwise. */
+    void preempt() {
+        double now = fleet.now();
+        Map<Machine, double[]> promised = new HashMap<>();
+        for (Job job : waiting()) {
+            Submission spec = job.spec();
+            if (now < job.notBefore()) {
+                continue;
+            }
+            int wanted = Math.min(job.waiting(), usage(job).roomFor(spec));
+            for (int i = 0; i < wanted; i++) {
+                if (!makeRoom(job, promised, now)) {
+                    break;
+                }
+            }
+        }
+    }
+
+    /** Frees room for one task, or finds that enough is being freed already. */
+    private boolean makeRoom(Job job, Map<Machine, double[]> promised, double now) {
+        Machine best = null;
+        List<Attempt> bestVictims = null;
+        double bestCost = Double.POSITIVE_INFINITY;
+        for (Machine machine : fleet.machines()) {
+            if (!eligible(job, machine, now)) {
+                continue;
+            }
+            List<Attempt> victims = new ArrayList<>();
+            double cost = victims(job, machine, promised.getOrDefault(machine, new double[3]), victims, now);
+            if (cost < bestCost) {
+                best = machine;
+                bestCost = cost;
+                bestVictims = victims;
+            }
+        }
+        if (best == null) {
+            return false;
+        }
+        double[] taken = promised.computeIfAbsent(best, m -> new double[3]);
+        taken[0] += job.spec().cpus();
+        taken[1] += job.spec().gpus();
+        taken[2] += job.spec().memoryGb();
+        for (Attempt victim : bestVictims) {
+            Submission spec = victim.job().spec();
+            fleet.stop(victim, spec.checkpoints() ? spec.saveS() + timing.reportS() : 0);
+        }
+        return true;
+    }
+
+    /** Cost of making room on one machine; infinite if it cannot be done. */
+    private double victims(Job job, Machine machine, double[] promised, List<Attempt> victims, double now) {
+        double cpus = machine.freeCpus() - promised[0];
+        double gpus = machine.freeGpus() - promised[1];
+        double memory = machine.freeMemory() - promised[2];
+        List<Attempt> candidates = new ArrayList<>();
+        for (Attempt attempt : machine.attempts()) {
+            Submission spec = attempt.job().spec();
+            if (attempt.state() == Attempt.State.STOPPING || attempt.state() == Attempt.State.ENDED) {
+                cpus += spec.cpus();
+                gpus += spec.gpus();
+                memory += spec.memoryGb();
+            } else if (attempt.state() != Attempt.State.CLAIMING && mayStop(attempt, job)) {
+                candidates.add(attempt);
+            }
+        }
+        candidates.sort(Comparator.comparing((Attempt a) -> a.job().spec().priority()).reversed()
+                .thenComparingDouble(a -> lostWork(a, now)));
+        double cost = 0;
+        for (Attempt victim : candidates) {
+            if (fits(job.spec(), cpus, gpus, memory)) {
+                break;
+            }
+            Submission spec = victim.job().spec();
+            cpus += spec.cpus();
+            gpus += spec.gpus();
+            memory += spec.memoryGb();
+            victims.add(victim);
+            cost += 10 + lostWork(victim, now);
+        }
+        return fits(job.spec(), cpus, gpus, memory) ? cost + score(job, machine, now) : Double.POSITIVE_INFINITY;
+    }
+
+    private static boolean fits(Submission spec, double cpus, double gpus, double memory) {
+        return spec.cpus() <= cpus + 1e-6 && spec.gpus() <= gpus + 1e-6 && spec.memoryGb() <= memory + 1e-6;
+    }
+
+    private static double lostWork(Attempt attempt, double now) {
+        Submission spec = attempt.job().spec();
+        double ran = attempt.state() == Attempt.State.RUNNING ? now - attempt.runningSince() : 0;
+        return spec.checkpoints() ? Math.min(ran, spec.saveS()) : ran;
+    }
+
+    /** The protocol's grounds for stopping one job's task for another's. */
+    private boolean mayStop(Attempt victim, Job job) {
+        Submission loser = victim.job().spec();
+        if (job.spec().priority().above(loser.priority())) {
+            return true;
+        }
+        return !loser.team().equals(job.spec().team()) && usage(victim.job()).aboveGuarantee()
+                && usage(job).guaranteedFor(job.spec());
+    }
+}
--- /dev/null
+++ b/src/main/java/org/springmill/control/coordination/Rentals.java
@@ -0,0 +1,449 @@
+package org.springmill.control.coordination;
+
+import java.util.ArrayList;
+import java.util.Comparator;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
+import org.springmill.control.storage.RateLimit;
+import org.springmill.protocol.BadMessageException;
+import org.springmill.protocol.CloudMessages;
+import org.springmill.protocol.CloudMessages.ListedMachine;
+import org.springmill.protocol.CloudMessages.MachinePage;
+import org.springmill.protocol.CloudMessages.MachinePhase;
+import org.springmill.protocol.CloudMessages.MachineType;
+import org.springmill.protocol.Settings;
+import org.springmill.protocol.Submission;
+import org.springmill.protocol.WorkerMessages.Cause;
+import org.springmill.transport.HttpClient;
+import org.springmill.transport.HttpClient.Reply;
+import org.springmill.transport.HttpClient.Request;
+import org.springmill.transport.Loop;
+
+/** Rents machines for what waits and what is to be expected, and gives back those that nobody needs. */
+final class Rentals {
+    private static final Logger LOG = LoggerFactory.getLogger(Rentals.class);
+
+    /** A machine that takes this many times its usual boot time will not come up. */
+    private static final double BOOT_PATIENCE = 3.5;
+    /** How many boots an idle machine is kept: long enough that returning it is worth the boot to come. */
+    private static final double IDLE_BOOTS = 1.5;
+    private static final double MIN_CHARGE_S = 60;
+    private static final byte[] EMPTY = new byte[0];
+
+    private final Fleet fleet;
+    private final Placement placement;
+    private final Demand demand;
+    private final HttpClient http;
+    private final Loop loop;
+    private final Settings settings;
+    private final Timing timing;
+    private final Runnable changed;
+    private final RateLimit calls;
+    private final Map<String, Double> refusedUntil = new HashMap<>();
+    private final List<Request> unresolved = new ArrayList<>();
+    private final Set<String> returned = new HashSet<>();
+    private final double startedAt;
+    private double listedAt = Double.NEGATIVE_INFINITY;
+    private int requests;
+    private boolean closed;
+
+    /** A machine that is booting, or would be rented, as the packing of demand sees it. */
+    private static final class Bin {
+        private final MachineType type;
+        private final String zone;
+        private final boolean spot;
+        private final boolean planned;
+        private double cpus;
+        private double gpus;
+        private double memory;
+
+        Bin(MachineType type, String zone, boolean spot, boolean planned, double cpus, double gpus, double memory) {
+            this.type = type;
+            this.zone = zone;
+            this.spot = spot;
+            this.planned = planned;
+            this.cpus = cpus;
+            this.gpus = gpus;
+            this.memory = memory;
+        }
+
+        boolean take(Submission spec, Map<String, Integer> zones) {
+            boolean fits = type.fits(spec) && (!spot || spec.spot()) && (spec.zone() == null || spec.zone().equals(zone))
+                    && spec.cpus() <= cpus + 1e-6 && spec.gpus() <= gpus + 1e-6 && spec.memoryGb() <= memory + 1e-6
+                    && zones.getOrDefault(zone, 0) < spec.perZone();
+            if (fits) {
+                cpus -= spec.cpus();
+                gpus -= spec.gpus();
+                memory -= spec.memoryGb();
+                zones.merge(zone, 1, Integer::sum);
+            }
+            return fits;
+        }
+    }
+
+    Rentals(Fleet fleet, Placement placement, Demand demand, HttpClient http, Loop loop, Settings settings,
+            Timing timing, Runnable changed) {
+        this.fleet = fleet;
+        this.placement = placement;
+        this.demand = demand;
+        this.http = http;
+        this.loop = loop;
+        this.settings = settings;
+        this.timing = timing;
+        this.changed = changed;
+        this.startedAt = loop.now();
+        this.calls = new RateLimit(settings.cloud().requestsPerS(), loop.now());
+    }
+
+    void start() {
+        list(null, new ArrayList<>());
+    }
+
+    void close() {
+        closed = true;
+    }
+
+    private double listEveryS() {
+        return Math.max(timing.reportS() / 2, 2 / settings.cloud().requestsPerS());
+    }
+
+    private void list(String after, List<ListedMachine> found) {
+        if (closed) {
+            return;
+        }
+        call("GET", CloudMessages.listPath(after), EMPTY, reply -> {
+            MachinePage page = null;
+            if (reply.ok()) {
+                try {
+                    page = CloudMessages.list(reply.body());
+                } catch (BadMessageException e) {
+                    LOG.warn("cloud: {}", e.getMessage());
+                }
+            }
+            if (page == null) {
+                loop.after(listEveryS(), this::start);
+                return;
+            }
+            found.addAll(page.machines());
+            if (page.more() && !page.machines().isEmpty()) {
+                list(page.machines().get(page.machines().size() - 1).name(), found);
+                return;
+            }
+            listed(found);
+            loop.after(listEveryS(), this::start);
+        });
+    }
+
+    private void listed(List<ListedMachine> found) {
+        double now = loop.now();
+        boolean first = listedAt == Double.NEGATIVE_INFINITY;
+        listedAt = now;
+        for (ListedMachine listed : found) {
+            if (returned.contains(listed.name())) {
+                continue;
+            }
+            Machine machine = fleet.machine(listed.name());
+            if (machine.type() == null || machine.address().isEmpty()) {
+                machine.describe(listed.address(), fleet.catalog().get(listed.type()), listed.zone(), listed.spot());
+                if (first) {
+                    // A new leader's token goes out at once, so that the worker stops obeying the old one.
+                    machine.askAgain = true;
+                }
+            }
+            if (listed.phase() == MachinePhase.FAILED && machine.state() != Machine.State.RETURNING) {
+                gone(machine);
+                giveBack(machine, "it failed");
+            }
+        }
+        changed.run();
+    }
+
+    /** The machine and everything on it are gone. */
+    private void gone(Machine machine) {
+        for (Attempt attempt : machine.attemptsNow()) {
+            fleet.end(attempt, Cause.NONE);
+        }
+    }
+
+    /** Looks after boots that never end, machines nobody hears of, idle machines, and what has to be rented. */
+    void tick() {
+        if (closed || listedAt == Double.NEGATIVE_INFINITY) {
+            return;
+        }
+        double now = loop.now();
+        for (Machine machine : fleet.machinesNow()) {
+            if (machine.type() == null) {
+                continue;
+            }
+            double bootS = machine.type().bootS();
+            switch (machine.state()) {
+                case EXPECTED -> {
+                    if (now - machine.firstSeen() > bootS * BOOT_PATIENCE) {
+                        giveBack(machine, "it never came up");
+                    }
+                }
+                case LOST -> {
+                    if (machine.attempts().isEmpty()) {
+                        giveBack(machine, "its worker is silent");
+                    }
+                }
+                case UP -> {
+                    if (machine.quarantined() && machine.attempts().isEmpty()) {
+                        giveBack(machine, "it fails what it starts");
+                    }
+                }
+                default -> { }
+            }
+        }
+        resolve();
+        plan(now);
+    }
+
+    private void plan(double now) {
+        if (now - startedAt < settings.cloud().listLagS() * 2) {
+            // Machines rented just before a change of leader may not be listed yet.
+            return;
+        }
+        List<Bin> room = new ArrayList<>();
+        for (Machine machine : fleet.machines()) {
+            if (machine.type() == null || machine.quarantined() || machine.draining() || machine.noticed()) {
+                continue;
+            }
+            boolean there = machine.state() == Machine.State.EXPECTED
+                    || machine.state() == Machine.State.UP && machine.takesWork(now, timing.leaseS());
+            if (there) {
+                room.add(new Bin(machine.type(), machine.zone(), machine.spot(), false, machine.freeCpus(),
+                        machine.freeGpus(), machine.freeMemory()));
+            }
+        }
+        room.sort(Comparator.comparingDouble(b -> b.type.price()));
+        for (Job job : placement.waiting()) {
+            if (job.machinesFailedOn() > 2) {
+                continue;
+            }
+            int wanted = Math.min(job.waiting(), fleet.ledger().usage(job.spec().team()).roomFor(job.spec()));
+            Map<String, Integer> zones = new HashMap<>();
+            for (Attempt attempt : job.attempts()) {
+                zones.merge(attempt.machine().zone(), 1, Integer::sum);
+            }
+            pack(job.spec(), wanted, zones, room, now);
+        }
+        for (Submission job : demand.urgent(slowestBootS())) {
+            int wanted = demand.expected(job.jobClass(), slowestBootS(), now);
+            for (int i = 0; i < wanted; i++) {
+                pack(job, 1, new HashMap<>(), room, now);
+            }
+        }
+        rent(room);
+        returnIdle(now);
+    }
+
+    private double slowestBootS() {
+        double slowest = 0;
+        for (MachineType type : fleet.catalog().all()) {
+            slowest = Math.max(slowest, type.bootS());
+        }
+        return slowest;
+    }
+
+    private void pack(Submission spec, int tasks, Map<String, Integer> zones, List<Bin> room, double now) {
+        for (int i = 0; i < tasks; i++) {
+            boolean placed = false;
+            for (Bin bin : room) {
+                if (bin.take(spec, zones)) {
+                    placed = true;
+                    break;
+                }
+            }
+            if (placed) {
+                continue;
+            }
+            Bin bin = cheapest(spec, tasks - i, zones, now);
+            if (bin == null || room.size() > 1000) {
+                return;
+            }
+            bin.take(spec, zones);
+            room.add(bin);
+        }
+    }
+
+    /** The kind of machine that runs so many tasks at the least price. */
+    private Bin cheapest(Submission spec, int tasks, Map<String, Integer> zones, double now) {
+        Bin best = null;
+        double bestPrice = Double.POSITIVE_INFINITY;
+        for (MachineType type : fleet.catalog().all()) {
+            if (!type.fits(spec)) {
+                continue;
+            }
+            double perMachine = Math.min(type.cpus() / Math.max(1e-6, spec.cpus()),
+                    Math.min(type.memoryGb() / Math.max(1e-6, spec.memoryGb()),
+                            spec.gpus() == 0 ? 1e9 : type.gpus() / spec.gpus()));
+            double used = Math.max(1, Math.min(tasks, Math.floor(perMachine)));
+            for (String zone : type.zones()) {
+                if (spec.zone() != null && !spec.zone().equals(zone) || zones.getOrDefault(zone, 0) >= spec.perZone()) {
+                    continue;
+                }
+                for (boolean spot : spec.spot() ? new boolean[] {true, false} : new boolean[] {false}) {
+                    double price = (spot ? type.spotPrice() : type.price()) / used
+                            + 1e-3 * zones.getOrDefault(zone, 0) + 1e-4 * machinesIn(zone);
+                    if (price < bestPrice && now >= refusedUntil.getOrDefault(kind(type.name(), zone, spot), 0.0)) {
+                        bestPrice = price;
+                        best = new Bin(type, zone, spot, true, type.cpus(), type.gpus(), type.memoryGb());
+                    }
+                }
+            }
+        }
+        return best;
+    }
+
+    private long machinesIn(String zone) {
+        return fleet.machines().stream().filter(m -> m.zone().equals(zone)).count();
+    }
+
+    private static String kind(String type, String zone, boolean spot) {
+        return type + '/' + zone + (spot ? "/spot" : "");
+    }
+
+    private void rent(List<Bin> room) {
+        if (!unresolved.isEmpty()) {
+            return;
+        }
+        Map<String, List<Bin>> kinds = new HashMap<>();
+        for (Bin bin : room) {
+            if (bin.planned) {
+                kinds.computeIfAbsent(kind(bin.type.name(), bin.zone, bin.spot), k -> new ArrayList<>()).add(bin);
+            }
+        }
+        for (List<Bin> bins : kinds.values()) {
+            Bin like = bins.get(0);
+            int count = Math.min(bins.size(), CloudMessages.MAX_RENT);
+            // Term and counter: no other leader, nor this one again, ever uses the same name.
+            String name = "r-" + fleet.term() + "-" + ++requests;
+            LOG.info("renting {} of {}", count, kind(like.type.name(), like.zone, like.spot));
+            Request request = request("POST", CloudMessages.RENT,
+                    CloudMessages.rent(name, like.type.name(), like.zone, like.spot, count));
+            unresolved.add(request);
+            send(request, reply -> rentAnswered(request, like, count, reply));
+        }
+    }
+
+    private void rentAnswered(Request request, Bin like, int count, Reply reply) {
+        if (closed) {
+            return;
+        }
+        String kind = kind(like.type.name(), like.zone, like.spot);
+        if (reply.ok()) {
+            unresolved.remove(request);
+            try {
+                List<String> names = CloudMessages.rented(reply.body());
+                for (String name : names) {
+                    fleet.machine(name).describe(fleet.machine(name).address(), like.type, like.zone, like.spot);
+                }
+                if (names.size() < count) {
+                    refusedUntil.put(kind, loop.now() + like.type.bootS() / 2);
+                }
+            } catch (BadMessageException e) {
+                LOG.warn("cloud: {}", e.getMessage());
+            }
+        } else if (reply.status() == 503 || reply.status() == 400) {
+            unresolved.remove(request);
+            refusedUntil.put(kind, loop.now() + like.type.bootS() / 2);
+        } else {
+            // Without an answer it may have been carried out: the same name again tells which machines it gave.
+            loop.after(listEveryS(), () -> {
+                if (!closed) {
+                    send(request, again -> rentAnswered(request, like, count, again));
+                }
+            });
+        }
+    }
+
+    private void resolve() {
+        refusedUntil.values().removeIf(until -> until < loop.now());
+    }
+
+    /** Gives back machines that stood idle, while what remains still has room for what is to be expected. */
+    private void returnIdle(double now) {
+        for (Machine machine : fleet.machinesNow()) {
+            boolean idle = machine.state() == Machine.State.UP && machine.attempts().isEmpty()
+                    && machine.reported().isEmpty();
+            if (!idle || now - machine.idleSince() < IDLE_BOOTS * machine.type().bootS()
+                    || now - machine.firstSeen() < MIN_CHARGE_S || neededAsReserve(machine, now)) {
+                continue;
+            }
+            giveBack(machine, "it is idle");
+        }
+    }
+
+    private boolean neededAsReserve(Machine candidate, double now) {
+        List<Bin> room = new ArrayList<>();
+        for (Machine machine : fleet.machines()) {
+            if (machine != candidate && machine.type() != null && machine.takesWork(now, timing.leaseS())) {
+                room.add(new Bin(machine.type(), machine.zone(), machine.spot(), false, machine.freeCpus(),
+                        machine.freeGpus(), machine.freeMemory()));
+            }
+        }
+        for (Submission job : demand.urgent(slowestBootS())) {
+            int wanted = demand.expected(job.jobClass(), slowestBootS(), now);
+            for (int i = 0; i < wanted; i++) {
+                boolean placed = room.stream().anyMatch(bin -> bin.take(job, new HashMap<>()));
+                if (!placed && candidate.suits(job)) {
+                    return true;
+                }
+            }
+        }
+        return false;
+    }
+
+    /** Deletes a machine; what it ran is proven gone by the cloud's answer, and by nothing before that. */
+    void giveBack(Machine machine, String why) {
+        if (machine.state() == Machine.State.RETURNING || machine.state() == Machine.State.GONE) {
+            return;
+        }
+        LOG.info("giving back {}: {}", machine.name(), why);
+        machine.transition(Machine.State.RETURNING);
+        delete(machine);
+    }
+
+    private void delete(Machine machine) {
+        if (closed) {
+            return;
+        }
+        call("POST", CloudMessages.RETURN, CloudMessages.giveBack(List.of(machine.name())), reply -> {
+            if (closed) {
+                return;
+            }
+            if (!reply.ok()) {
+                loop.after(listEveryS(), () -> delete(machine));
+                return;
+            }
+            returned.add(machine.name());
+            gone(machine);
+            machine.transition(Machine.State.GONE);
+            changed.run();
+        });
+    }
+
+    private Request request(String method, String path, byte[] body) {
+        return new Request(settings.cloudAddress(), method, path, body, timing.leaseS() / 3);
+    }
+
+    private void call(String method, String path, byte[] body, java.util.function.Consumer<Reply> done) {
+        send(request(method, path, body), done);
+    }
+
+    private void send(Request request, java.util.function.Consumer<Reply> done) {
+        double wait = calls.waitFor(1, loop.now());
+        calls.take(1, loop.now());
+        if (wait > 0) {
+            loop.after(wait, () -> http.send(request, done));
+        } else {
+            http.send(request, done);
+        }
+    }
+}
--- /dev/null
+++ b/src/main/java/org/springmill/control/coordination/Rounds.java
@@ -0,0 +1,108 @@
+package org.springmill.control.coordination;
+
+import java.util.ArrayList;
+import java.util.List;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
+import org.springmill.control.storage.Claim;
+import org.springmill.control.storage.RoundLog;
+import org.springmill.control.storage.RoundLog.End;
+import org.springmill.protocol.WorkerMessages.Cause;
+import org.springmill.transport.Loop;
+
+/** Runs rounds: placement and ends are committed together, one commit at a time, before anything is sent. */
+final class Rounds {
+    private static final Logger LOG = LoggerFactory.getLogger(Rounds.class);
+
+    /** What follows from a committed round. */
+    interface Listener {
+        void committed(List<Attempt> claimed, List<Attempt> ended);
+
+        void lost();
+    }
+
+    private final Fleet fleet;
+    private final Placement placement;
+    private final RoundLog log;
+    private final Leadership leadership;
+    private final Loop loop;
+    private final double gapS;
+    private final Listener listener;
+    private boolean committing;
+    private boolean wanted;
+    private boolean scheduled;
+    private boolean closed;
+    private double lastRound = Double.NEGATIVE_INFINITY;
+
+    Rounds(Fleet fleet, Placement placement, RoundLog log, Leadership leadership, Loop loop, double gapS,
+            Listener listener) {
+        this.fleet = fleet;
+        this.placement = placement;
+        this.log = log;
+        this.leadership = leadership;
+        this.loop = loop;
+        this.gapS = gapS;
+        this.listener = listener;
+    }
+
+    void close() {
+        closed = true;
+    }
+
+    /** Asks for a round soon: at once if none ran lately, else after the gap that the state service's limits allow. */
+    void request() {
+        wanted = true;
+        if (!scheduled && !committing && !closed) {
+            scheduled = true;
+            loop.after(Math.max(0, lastRound + gapS - loop.now()), this::run);
+        }
+    }
+
+    private void run() {
+        scheduled = false;
+        if (closed || committing || !wanted || !leadership.mayPlace()) {
+            return;
+        }
+        wanted = false;
+        lastRound = loop.now();
+        List<Attempt> ended = fleet.ledger().takeEnded(log.capacity() / 2);
+        List<Attempt> claimed = placement.place(log.next(), log.capacity() / 2);
+        placement.preempt();
+        if (ended.isEmpty() && claimed.isEmpty()) {
+            return;
+        }
+        List<Claim> claims = new ArrayList<>();
+        claimed.forEach(attempt -> claims.add(attempt.claim()));
+        List<End> ends = new ArrayList<>();
+        ended.forEach(attempt -> ends.add(new End(attempt.claim(), attempt.cause() == Cause.DONE)));
+        committing = true;
+        long number = log.next();
+        log.append(claims, ends, () -> {
+            committing = false;
+            LOG.debug("round {}: {} claims, {} ends", number, claimed.size(), ended.size());
+            committed(claimed, ended);
+        }, listener::lost);
+    }
+
+    private void committed(List<Attempt> claimed, List<Attempt> ended) {
+        double now = loop.now();
+        for (Attempt attempt : ended) {
+            if (attempt.cause() == Cause.DONE) {
+                attempt.job().markDone(attempt.claim().task().index());
+            }
+            attempt.transition(Attempt.State.GONE, now);
+            fleet.ledger().remove(attempt, now);
+        }
+        for (Attempt attempt : claimed) {
+            fleet.ledger().claimed(attempt);
+            attempt.transition(Attempt.State.CLAIMED, now);
+            boolean machineThere = attempt.machine().state() == Machine.State.UP && !attempt.machine().noticed();
+            if (!attempt.job().active() || !machineThere) {
+                // Overtaken while the round was committed: nothing was sent, so it is over.
+                fleet.end(attempt, Cause.STOPPED);
+            }
+        }
+        listener.committed(claimed, ended);
+        request();
+    }
+}
--- /dev/null
+++ b/src/main/java/org/springmill/control/coordination/Settling.java
@@ -0,0 +1,191 @@
+package org.springmill.control.coordination;
+
+import java.util.HashSet;
+import java.util.Set;
+import java.util.function.Consumer;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
+import org.springmill.protocol.WorkerMessages.Cause;
+import org.springmill.protocol.WorkerMessages.Report;
+import org.springmill.protocol.WorkerMessages.TaskReport;
+import org.springmill.protocol.WorkerMessages.TaskState;
+
+/**
+ * Decides from workers' messages, and from their silence, which attempts stand and which are proven gone. A task may
+ * be placed again only after one of the proofs here; docs/design.md has the argument.
+ */
+final class Settling {
+    private static final Logger LOG = LoggerFactory.getLogger(Settling.class);
+    /** Machines on which this many jobs failed in a row, with none succeeding, are taken to be faulty. */
+    private static final int FAULTY_AFTER = 2;
+
+    private final Fleet fleet;
+    private final Timing timing;
+    private final Peers peers;
+    private final double tookOver;
+    private final Runnable changed;
+    private final Consumer<String> laterTerm;
+
+    /**
+     * @param tookOver when this leader learned that it leads
+     * @param changed called when a round may have something to do
+     * @param laterTerm called when a worker has seen a token of a later term
+     */
+    Settling(Fleet fleet, Timing timing, Peers peers, Runnable changed, Consumer<String> laterTerm) {
+        this.fleet = fleet;
+        this.timing = timing;
+        this.peers = peers;
+        this.tookOver = fleet.now();
+        this.changed = changed;
+        this.laterTerm = laterTerm;
+    }
+
+    /** Takes in a worker's message, unless a newer one was seen before: late copies prove nothing. */
+    void accept(Machine machine, Report report) {
+        if (Machine.termOf(report.token()) > fleet.term()) {
+            laterTerm.accept(machine.name() + " has seen a later term");
+            return;
+        }
+        if (!machine.isNews(report)) {
+            return;
+        }
+        double now = fleet.now();
+        machine.adoptToken(report.token());
+        machine.take(report, now);
+        if (machine.state() == Machine.State.EXPECTED || machine.state() == Machine.State.LOST) {
+            machine.transition(Machine.State.UP);
+        }
+        Set<Attempt> present = new HashSet<>();
+        for (TaskReport task : report.tasks()) {
+            Attempt attempt = machine.find(task);
+            if (attempt != null) {
+                present.add(attempt);
+                seen(machine, attempt, task, now);
+            }
+        }
+        for (Attempt attempt : machine.attemptsNow()) {
+            if (!present.contains(attempt) && provenGone(attempt, report)) {
+                fleet.end(attempt, Cause.NONE);
+            }
+        }
+        if (machine.noticed()) {
+            vacate(machine);
+        }
+        changed.run();
+    }
+
+    private void seen(Machine machine, Attempt attempt, TaskReport task, double now) {
+        switch (task.state()) {
+            case FETCHING -> {
+                if (attempt.state() == Attempt.State.SENT || attempt.state() == Attempt.State.UNKNOWN) {
+                    attempt.transition(Attempt.State.FETCHING, now);
+                    machine.usesImage(attempt.job().spec(), now);
+                }
+            }
+            case RUNNING -> {
+                if (attempt.state() == Attempt.State.SENT || attempt.state() == Attempt.State.UNKNOWN
+                        || attempt.state() == Attempt.State.FETCHING) {
+                    attempt.transition(Attempt.State.RUNNING, now);
+                    machine.usesImage(attempt.job().spec(), now);
+                    if (attempt.job().spec().service()) {
+                        machine.worked();
+                    }
+                }
+            }
+            case SAVING -> {
+                if (attempt.state() == Attempt.State.UNKNOWN) {
+                    attempt.transition(Attempt.State.STOPPING, now);
+                }
+            }
+            case EXITED -> exited(machine, attempt, task.cause(), now);
+        }
+    }
+
+    private void exited(Machine machine, Attempt attempt, Cause cause, double now) {
+        if (attempt.state() == Attempt.State.ENDED || attempt.state() == Attempt.State.CLAIMING) {
+            return;
+        }
+        Job job = attempt.job();
+        switch (cause) {
+            case DONE -> {
+                machine.worked();
+                job.succeeded();
+            }
+            case ERROR -> {
+                job.failedOn(machine.name(), now, timing.leaseS() / 4);
+                LOG.info("{} failed on {}", attempt.claim().task(), machine.name());
+                if (machine.errored(job.id()) >= FAULTY_AFTER && !machine.quarantined()) {
+                    LOG.warn("machine {} fails what it starts: no new work for it", machine.name());
+                    machine.quarantine();
+                }
+            }
+            case NO_ROOM, BUSY, UNKNOWN_JOB -> {
+                LOG.info("{} refused on {}: {}", attempt.claim().task(), machine.name(), cause);
+                machine.avoidUntil(now + timing.reportS());
+            }
+            default -> { }
+        }
+        fleet.end(attempt, cause);
+    }
+
+    /**
+     * Absence from a newer message proves that an attempt is gone if the worker had by then seen a token above every
+     * one its start was sent with, or has since begun a new session; otherwise a start may still be on the way.
+     */
+    private boolean provenGone(Attempt attempt, Report report) {
+        return switch (attempt.state()) {
+            case CLAIMING, CLAIMED, ENDED, GONE -> false;
+            default -> report.token() > attempt.exposedToken()
+                    || attempt.session() != 0 && report.session() > attempt.session();
+        };
+    }
+
+    /** When the last lease that anyone may have granted to a machine's worker has run out. */
+    double leaseGoneAt(Machine machine) {
+        double renewed = Math.max(machine.lastAnswered(), peers.othersMayRenewUntil());
+        if (Machine.termOf(machine.seenToken()) != fleet.term()) {
+            // It may still obey an earlier leader, or a controller that answers in an outage.
+            renewed = Math.max(renewed, tookOver + timing.othersS());
+        }
+        return renewed + timing.leaseS();
+    }
+
+    /** Looks for claims past their window and for machines silent beyond their lease. */
+    void tick() {
+        double now = fleet.now();
+        for (Machine machine : fleet.machinesNow()) {
+            if (machine.state() == Machine.State.GONE) {
+                continue;
+            }
+            boolean expired = now > leaseGoneAt(machine);
+            for (Attempt attempt : machine.attemptsNow()) {
+                if (expired) {
+                    if (attempt.state() != Attempt.State.CLAIMING) {
+                        fleet.end(attempt, Cause.NONE);
+                    }
+                } else if (attempt.state() == Attempt.State.SENT && now - attempt.since() > timing.claimWindowS()) {
+                    attempt.transition(Attempt.State.UNKNOWN, now);
+                    attempt.sendAgainAt(now);
+                }
+            }
+            if (expired && machine.state() == Machine.State.UP) {
+                LOG.warn("machine {} was silent for a whole lease", machine.name());
+                machine.transition(Machine.State.LOST);
+                machine.forgetImages();
+                changed.run();
+            }
+        }
+    }
+
+    /** Moves everything off a machine that is about to be taken: what ends in time is known to be gone. */
+    private void vacate(Machine machine) {
+        double left = machine.noticeAt() - fleet.now();
+        for (Attempt attempt : machine.attemptsNow()) {
+            if (!attempt.moving()) {
+                attempt.markMoving();
+                double save = attempt.job().spec().checkpoints() ? attempt.job().spec().saveS() : 0;
+                fleet.stop(attempt, save < left ? left : 0);
+            }
+        }
+    }
+}
--- /dev/null
+++ b/src/main/java/org/springmill/control/coordination/Timing.java
@@ -0,0 +1,36 @@
+package org.springmill.control.coordination;
+
+import org.springmill.protocol.Settings;
+
+/**
+ * The times that safety and failover hang on, all ratios to the workers' lease and report interval. The argument for
+ * them is in docs/design.md, "When a task may start again".
+ *
+ * @param leaderTtlS lease of the leader in the state service
+ * @param renewS interval of its renewals, and of the followers' looks at the leader's record
+ * @param graceS how long after its lease may have run out a leader still answers reports without its peers' word
+ * @param confirmS how long a peer's word that it cannot reach the state service is good for, from the question on
+ * @param leaseS a worker's lease as seen from another clock
+ * @param claimWindowS after this an unconfirmed start is unknown and is settled
+ * @param quietS a worker not heard for this long gets no new work
+ * @param cancelDeleteS a cancelled task not gone by then has its machine deleted
+ */
+record Timing(double leaderTtlS, double renewS, double graceS, double confirmS, double pingS, double stateTimeoutS,
+        double leaseS, double reportS, double claimWindowS, double quietS, double orderTimeoutS, double cancelDeleteS) {
+
+    /** Drift of two clocks against each other, doubled, and timers that fire late. */
+    private static final double DRIFT = 1.002;
+
+    static Timing of(Settings settings) {
+        double lease = settings.workers().leaseS();
+        double report = settings.workers().reportS();
+        double ttl = lease / 5;
+        return new Timing(ttl, ttl / 4, ttl, ttl / 2, ttl / 8, ttl / 3, lease * DRIFT + report / 10, report, lease * 0.3,
+                report * 1.25 * 1.6, report * 0.6, settings.workers().cancelS() * 0.55);
+    }
+
+    /** How long after a leader took over another controller may still renew a worker's lease. */
+    double othersS() {
+        return Math.max(leaderTtlS + graceS, confirmS) * DRIFT;
+    }
+}
--- /dev/null
+++ b/src/main/java/org/springmill/protocol/PeerMessages.java
@@ -0,0 +1,108 @@
+package org.springmill.protocol;
+
+import java.io.ByteArrayInputStream;
+import java.io.ByteArrayOutputStream;
+import java.io.DataInputStream;
+import java.io.DataOutputStream;
+import java.io.IOException;
+import java.io.UncheckedIOException;
+import java.util.ArrayList;
+import java.util.List;
+
+/** Records between controllers: a version, a kind, and the fields of that kind. */
+public final class PeerMessages {
+    private static final int VERSION = 1;
+
+    private PeerMessages() {
+    }
+
+    /** Any record. */
+    public sealed interface PeerRecord {
+        String from();
+    }
+
+    /**
+     * What a controller knows at this moment. As an answer it confirms the question it echoes, so that whoever asked
+     * can date it by its own clock.
+     *
+     * @param question number of the sender's own question
+     * @param echo number of the question that is answered; 0 for none
+     * @param stateReachable whether the sender's last request to the state service was served
+     * @param leading whether it answers workers as the leader
+     * @param term the highest leadership term it knows of
+     */
+    public record Status(String from, long question, long echo, boolean stateReachable, boolean leading,
+            long term)
+            implements PeerRecord {
+    }
+
+    /** How far one job is, for display. */
+    public record JobProgress(String job, int done, int running) {
+    }
+
+    /** The leader's account of running jobs. */
+    public record Progress(String from, long term, List<JobProgress> jobs) implements PeerRecord {
+        /** So many jobs go into one record. */
+        public static final int MOST = 400;
+    }
+
+    public static byte[] encode(PeerRecord message) {
+        ByteArrayOutputStream bytes = new ByteArrayOutputStream(64);
+        try (DataOutputStream out = new DataOutputStream(bytes)) {
+            out.writeByte(VERSION);
+            if (message instanceof Status s) {
+                out.writeByte(1);
+                out.writeUTF(s.from);
+                out.writeLong(s.question);
+                out.writeLong(s.echo);
+                out.writeBoolean(s.stateReachable);
+                out.writeBoolean(s.leading);
+                out.writeLong(s.term);
+            } else if (message instanceof Progress p) {
+                out.writeByte(2);
+                out.writeUTF(p.from);
+                out.writeLong(p.term);
+                int count = Math.min(Progress.MOST, p.jobs.size());
+                out.writeShort(count);
+                for (JobProgress job : p.jobs.subList(0, count)) {
+                    out.writeUTF(job.job);
+                    out.writeInt(job.done);
+                    out.writeInt(job.running);
+                }
+            }
+        } catch (IOException e) {
+            throw new UncheckedIOException(e);
+        }
+        return bytes.toByteArray();
+    }
+
+    public static PeerRecord decode(byte[] bytes) throws BadMessageException {
+        try (DataInputStream in = new DataInputStream(new ByteArrayInputStream(bytes))) {
+            int version = in.readUnsignedByte();
+            if (version != VERSION) {
+                throw new BadMessageException("peer record of version " + version);
+            }
+            int kind = in.readUnsignedByte();
+            if (kind == 1) {
+                return new Status(in.readUTF(), in.readLong(), in.readLong(), in.readBoolean(), in.readBoolean(),
+                        in.readLong());
+            }
+            if (kind != 2) {
+                throw new BadMessageException("peer record of kind " + kind);
+            }
+            String from = in.readUTF();
+            long term = in.readLong();
+            int count = in.readUnsignedShort();
+            if (count > Progress.MOST) {
+                throw new BadMessageException("peer record of " + count + " jobs");
+            }
+            List<JobProgress> jobs = new ArrayList<>(count);
+            for (int i = 0; i < count; i++) {
+                jobs.add(new JobProgress(in.readUTF(), in.readInt(), in.readInt()));
+            }
+            return new Progress(from, term, jobs);
+        } catch (IOException e) {
+            throw new BadMessageException("peer record cut short");
+        }
+    }
+}
--- /dev/null
+++ b/src/main/java/org/springmill/protocol/SettingsFile.java
@@ -0,0 +1,161 @@
+package org.springmill.protocol;
+
+import com.fasterxml.jackson.core.JsonProcessingException;
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.dataformat.toml.TomlMapper;
+import java.io.IOException;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+
+/** Reads and checks the platform's settings file. Unknown fields are ignored. */
+public final class SettingsFile {
+    private final Path file;
+
+    private SettingsFile(Path file) {
+        this.file = file;
+    }
+
+    public static Settings read(Path file) throws SettingsException {
+        return new SettingsFile(file).read();
+    }
+
+    private Settings read() throws SettingsException {
+        JsonNode root;
+        try {
+            root = new TomlMapper().readTree(Files.readString(file));
+        } catch (JsonProcessingException e) {
+            String where = e.getLocation() == null ? "" : " line " + e.getLocation().getLineNr();
+            throw new SettingsException(file + where + ": not valid TOML: " + e.getOriginalMessage());
+        } catch (IOException e) {
+            throw new SettingsException(file + ": cannot be read; name an existing TOML file with --config");
+        }
+        String node = text(root, "node");
+        Map<String, String> peers = new LinkedHashMap<>();
+        int i = 0;
+        for (JsonNode seed : list(root, "seeds")) {
+            String at = "seeds[" + i++ + "].";
+            String name = text(seed, "node", at);
+            if (name.equals(node) || peers.put(name, address(seed, "addr", at)) != null) {
+                throw bad(at + "node", "each controller must be listed once, without this one itself");
+            }
+        }
+        JsonNode cluster = root.path("cluster");
+        JsonNode workers = cluster.path("workers");
+        JsonNode state = cluster.path("state");
+        JsonNode cloud = cluster.path("cloud");
+        JsonNode limits = cluster.path("machine_limits");
+        List<String> zones = new ArrayList<>();
+        for (JsonNode zone : list(cluster, "zones")) {
+            zones.add(zone.asText());
+        }
+        return new Settings(node, text(root, "site"), address(root, "api_addr", ""), address(root, "peer_bind", ""),
+                Map.copyOf(peers), address(root.path("services"), "cloud", "services."),
+                address(root.path("services"), "state", "services."), List.copyOf(zones),
+                positive(cluster, "skew_ms", "cluster.") / 1000, teams(cluster), objectives(cluster),
+                new Settings.Workers(positive(workers, "report_s", "cluster.workers."),
+                        positive(workers, "lease_s", "cluster.workers."),
+                        positive(workers, "cancel_s", "cluster.workers.")),
+                new Settings.State(positive(state, "rps", "cluster.state."),
+                        positive(state, "write_rps", "cluster.state."),
+                        (int) (positive(state, "value_kb", "cluster.state.") * 1024),
+                        (int) positive(state, "txn_ops", "cluster.state.")),
+                new Settings.Cloud(positive(cloud, "rps", "cluster.cloud."),
+                        number(cloud, "list_lag_s", "cluster.cloud.")),
+                new Settings.Limits(positive(limits, "cpu_share", "cluster.machine_limits."),
+                        positive(limits, "ram_mb", "cluster.machine_limits."),
+                        (int) positive(limits, "max_sockets", "cluster.machine_limits.")));
+    }
+
+    private List<Settings.Team> teams(JsonNode cluster) throws SettingsException {
+        List<Settings.Team> teams = new ArrayList<>();
+        int i = 0;
+        for (JsonNode team : list(cluster, "teams")) {
+            String at = "cluster.teams[" + i++ + "].";
+            teams.add(new Settings.Team(text(team, "name", at), optional(team, "cpus", at),
+                    optional(team, "cpus_max", at), optional(team, "gpus", at), optional(team, "gpus_max", at)));
+        }
+        return List.copyOf(teams);
+    }
+
+    private List<Settings.Objective> objectives(JsonNode cluster) throws SettingsException {
+        List<Settings.Objective> objectives = new ArrayList<>();
+        int i = 0;
+        for (JsonNode objective : list(cluster, "objectives")) {
+            String at = "cluster.objectives[" + i++ + "].";
+            JsonNode jobClass = objective.path("class");
+            objectives.add(new Settings.Objective(text(objective, "kind", at),
+                    jobClass.isTextual() ? jobClass.textValue() : null, optional(objective, "within_s", at),
+                    optional(objective, "share", at)));
+        }
+        return List.copyOf(objectives);
+    }
+
+    private JsonNode list(JsonNode parent, String field) throws SettingsException {
+        JsonNode node = parent.path(field);
+        if (!node.isMissingNode() && !node.isArray()) {
+            throw bad(field, "must be a list");
+        }
+        return node;
+    }
+
+    private String text(JsonNode parent, String field) throws SettingsException {
+        return text(parent, field, "");
+    }
+
+    private String text(JsonNode parent, String field, String at) throws SettingsException {
+        JsonNode node = parent.path(field);
+        if (node.isMissingNode()) {
+            throw bad(at + field, "is missing; add it as a text");
+        }
+        if (!node.isTextual() || node.textValue().isEmpty()) {
+            throw bad(at + field, "must be a text that is not empty");
+        }
+        return node.textValue();
+    }
+
+    private String address(JsonNode parent, String field, String at) throws SettingsException {
+        String text = text(parent, field, at);
+        int colon = text.lastIndexOf(':');
+        int port = -1;
+        try {
+            port = Integer.parseInt(text.substring(colon + 1));
+        } catch (NumberFormatException e) {
+            // Falls through to the one message for every wrong address.
+        }
+        if (colon < 1 || port < 0 || port > 65535) {
+            throw bad(at + field, "is \"" + text + "\"; write it as \"10.0.0.1:8080\"");
+        }
+        return text;
+    }
+
+    private double number(JsonNode parent, String field, String at) throws SettingsException {
+        JsonNode node = parent.path(field);
+        if (node.isMissingNode()) {
+            throw bad(at + field, "is missing; add it as a number");
+        }
+        if (!node.isNumber() || !Double.isFinite(node.doubleValue()) || node.doubleValue() < 0) {
+            throw bad(at + field, "must be a number of at least 0");
+        }
+        return node.doubleValue();
+    }
+
+    private double positive(JsonNode parent, String field, String at) throws SettingsException {
+        double value = number(parent, field, at);
+        if (value <= 0) {
+            throw bad(at + field, "must be above 0");
+        }
+        return value;
+    }
+
+    private double optional(JsonNode parent, String field, String at) throws SettingsException {
+        return parent.has(field) ? number(parent, field, at) : 0;
+    }
+
+    private SettingsException bad(String field, String problem) {
+        return new SettingsException(file + ": " + field + " " + problem);
+    }
+}
--- /dev/null
+++ b/src/main/java/org/springmill/protocol/Submission.java
@@ -0,0 +1,135 @@
+package org.springmill.protocol;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.node.ArrayNode;
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.regex.Pattern;
+
+/**
+ * A job as its user described it.
+ *
+ * @param types the allowed machine types; null for any
+ * @param zone the only allowed zone; null for any
+ * @param deadlineS null if the job has none
+ */
+public record Submission(String id, String jobClass, String team, boolean service, Priority priority, int tasks,
+        double cpus, double gpus, double memoryGb, String image, double imageGb, List<String> types, String zone,
+        boolean oneZone, boolean spread, boolean spot, double estimateS, double checkpointS, double saveS,
+        Double deadlineS) {
+
+    private static final Pattern ID = Pattern.compile("run-[0-9]{1,18}");
+    private static final int MAX_TASKS = 100_000;
+    private static final int MAX_NAME = 200;
+
+    public static boolean validId(String id) {
+        return ID.matcher(id).matches();
+    }
+
+    public static Submission parse(JsonNode json) throws BadMessageException {
+        String id = text(json, "nameId");
+        if (!validId(id)) {
+            throw new BadMessageException("nameId has not the form run-000412");
+        }
+        String shape = text(json, "shape");
+        if (!shape.equals("service") && !shape.equals("sweep")) {
+            throw new BadMessageException("shape is neither service nor sweep");
+        }
+        JsonNode count = json.path("sacks");
+        if (!count.isIntegralNumber() || !count.canConvertToInt() || count.intValue() < 1 || count.intValue() > MAX_TASKS) {
+            throw new BadMessageException("sacks is not a whole number from 1 to " + MAX_TASKS);
+        }
+        return new Submission(id, text(json, "grist"), text(json, "crew"), shape.equals("service"),
+                Priority.of(text(json, "urgency")), count.intValue(), amount(json, "vcpus"), amount(json, "cards"),
+                amount(json, "memGb"), text(json, "mould"), amount(json, "pullGb"), types(json.path("frames")),
+                isAbsent(json.path("yard")) ? null : text(json, "yard"), flag(json, "samePlace"), flag(json, "apart"),
+                flag(json, "loaner"), amount(json, "expectS"), amount(json, "stashEveryS"), amount(json, "stashS"),
+                isAbsent(json.path("dueS")) ? null : amount(json, "dueS"));
+    }
+
+    /** The same form that {@link #parse} takes; also how a job is kept in the state service. */
+    public ObjectNode toJson() {
+        ObjectNode json = Json.newObject();
+        json.put("nameId", id).put("grist", jobClass).put("crew", team).put("shape", service ? "service" : "sweep")
+                .put("urgency", priorityName()).put("sacks", tasks).put("vcpus", cpus).put("cards", gpus)
+                .put("memGb", memoryGb).put("mould", image).put("pullGb", imageGb).put("samePlace", oneZone)
+                .put("apart", spread).put("loaner", spot).put("expectS", estimateS).put("stashEveryS", checkpointS)
+                .put("stashS", saveS);
+        if (types != null) {
+            ArrayNode array = json.putArray("frames");
+            types.forEach(array::add);
+        }
+        if (zone != null) {
+            json.put("yard", zone);
+        }
+        if (deadlineS != null) {
+            json.put("dueS", deadlineS);
+        }
+        return json;
+    }
+
+    private String priorityName() {
+        return switch (priority) {
+            case PRODUCTION -> "prod";
+            case HIGH -> "urgent";
+            case NORMAL -> "normal";
+            case LOW -> "best_effort";
+        };
+    }
+
+    /** How many tasks of the job one zone may hold. */
+    public int perZone() {
+        return spread ? (tasks + 1) / 2 : tasks;
+    }
+
+    public boolean checkpoints() {
+        return checkpointS > 0;
+    }
+
+    private static boolean isAbsent(JsonNode node) {
+        return node.isMissingNode() || node.isNull();
+    }
+
+    private static String text(JsonNode json, String field) throws BadMessageException {
+        JsonNode node = json.path(field);
+        if (!node.isTextual() || node.textValue().isEmpty() || node.textValue().length() > MAX_NAME) {
+            throw new BadMessageException(field + " is not a text of 1 to " + MAX_NAME + " characters");
+        }
+        return node.textValue();
+    }
+
+    private static double amount(JsonNode json, String field) throws BadMessageException {
+        JsonNode node = json.path(field);
+        double value = node.doubleValue();
+        if (!node.isNumber() || !Double.isFinite(value) || value < 0) {
+            throw new BadMessageException(field + " is not a number of at least 0");
+        }
+        return value;
+    }
+
+    private static boolean flag(JsonNode json, String field) throws BadMessageException {
+        JsonNode node = json.path(field);
+        if (!node.isBoolean()) {
+            throw new BadMessageException(field + " is neither true nor false");
+        }
+        return node.booleanValue();
+    }
+
+    private static List<String> types(JsonNode node) throws BadMessageException {
+        if (isAbsent(node)) {
+            return null;
+        }
+        if (!node.isArray()) {
+            throw new BadMessageException("frames is not a list");
+        }
+        List<String> types = new ArrayList<>();
+        for (JsonNode type : node) {
+            if (!type.isTextual()) {
+                throw new BadMessageException("frames holds something that is not a text");
+            }
+            types.add(type.textValue());
+        }
+        return List.copyOf(types);
+    }
+}
--- /dev/null
+++ b/src/main/java/org/springmill/transport/Loop.java
@@ -0,0 +1,18 @@
+package org.springmill.transport;
+
+/**
+ * The event loop that owns all state of a controller: a steady clock and timers whose tasks run one at a time.
+ * Timers may fire late and every user has to tolerate that.
+ */
+public interface Loop {
+
+    /** Seconds on the steady clock, from an arbitrary start. */
+    double now();
+
+    Timer after(double seconds, Runnable task);
+
+    /** A pending task; cancelling one that has run does nothing. */
+    interface Timer {
+        void cancel();
+    }
+}
--- /dev/null
+++ b/src/main/java/org/springmill/transport/UndertowClients.java
@@ -0,0 +1,280 @@
+package org.springmill.transport;
+
+import io.undertow.UndertowOptions;
+import io.undertow.client.ClientCallback;
+import io.undertow.client.ClientConnection;
+import io.undertow.client.ClientExchange;
+import io.undertow.client.ClientRequest;
+import io.undertow.client.UndertowClient;
+import io.undertow.connector.ByteBufferPool;
+import io.undertow.connector.PooledByteBuffer;
+import io.undertow.util.Headers;
+import io.undertow.util.HttpString;
+import java.io.ByteArrayOutputStream;
+import java.io.IOException;
+import java.net.URI;
+import java.nio.ByteBuffer;
+import java.util.ArrayDeque;
+import java.util.HashMap;
+import java.util.Map;
+import java.util.function.Consumer;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
+import org.xnio.ChannelListeners;
+import org.xnio.IoUtils;
+import org.xnio.OptionMap;
+import org.xnio.Options;
+import org.xnio.XnioIoThread;
+import org.xnio.channels.StreamSinkChannel;
+import org.xnio.channels.StreamSourceChannel;
+
+/** Undertow's client with a small pool of kept connections for each address, one request at a time on each. */
+final class UndertowClients implements HttpClient {
+    private static final Logger LOG = LoggerFactory.getLogger(UndertowClients.class);
+
+    private static final int MAX_PER_ADDRESS = 8;
+    /** While a connection attempt hangs, no other is begun to that address for this long. */
+    private static final double CONNECT_AGAIN_S = 5.0;
+    private static final OptionMap OPTIONS = OptionMap.builder()
+            .set(Options.TCP_NODELAY, true)
+            .set(UndertowOptions.ENABLE_HTTP2, false)
+            .getMap();
+
+    private final XnioIoThread thread;
+    private final ByteBufferPool buffers;
+    private final Loop loop;
+    private final Map<String, Pool> pools = new HashMap<>();
+
+    UndertowClients(XnioIoThread thread, ByteBufferPool buffers, Loop loop) {
+        this.thread = thread;
+        this.buffers = buffers;
+        this.loop = loop;
+    }
+
+    @Override
+    public void send(Request request, Consumer<Reply> done) {
+        Pool pool = pools.computeIfAbsent(request.address(), Pool::new);
+        pool.submit(new Job(pool, request, done));
+    }
+
+    private final class Pool {
+        private final String address;
+        private final URI uri;
+        private final ArrayDeque<ClientConnection> idle = new ArrayDeque<>();
+        private final ArrayDeque<Job> waiting = new ArrayDeque<>();
+        private int open;
+        private int connecting;
+        private double lastConnect;
+
+        Pool(String address) {
+            this.address = address;
+            this.uri = URI.create("http://" + address);
+        }
+
+        void submit(Job job) {
+            waiting.add(job);
+            pump();
+        }
+
+        void pump() {
+            while (!waiting.isEmpty()) {
+                ClientConnection connection = idle.poll();
+                if (connection == null) {
+                    break;
+                }
+                if (connection.isOpen()) {
+                    waiting.poll().start(connection);
+                }
+            }
+            boolean stuck = connecting > 0 && loop.now() - lastConnect > CONNECT_AGAIN_S;
+            if (waiting.size() > connecting && open + connecting < MAX_PER_ADDRESS && (connecting < 2 || stuck)) {
+                connect();
+            }
+        }
+
+        private void connect() {
+            connecting++;
+            lastConnect = loop.now();
+            UndertowClient.getInstance().connect(new ClientCallback<ClientConnection>() {
+                @Override
+                public void completed(ClientConnection connection) {
+                    connecting--;
+                    open++;
+                    connection.getCloseSetter().set(c -> closed(connection));
+                    release(connection);
+                }
+
+                @Override
+                public void failed(IOException e) {
+                    connecting--;
+                    LOG.debug("connect to {}: {}", address, e.getMessage());
+                    // All that waited for this attempt fail together; each decides for itself what to do next.
+                    while (waiting.size() > connecting) {
+                        waiting.poll().finish(Reply.NOT_SENT);
+                    }
+                }
+            }, uri, thread, buffers, OPTIONS);
+        }
+
+        void release(ClientConnection connection) {
+            if (connection.isOpen()) {
+                idle.push(connection);
+                pump();
+            }
+        }
+
+        private void closed(ClientConnection connection) {
+            open--;
+            idle.remove(connection);
+            if (open + connecting + waiting.size() == 0) {
+                pools.remove(address, this);
+            } else {
+                pump();
+            }
+        }
+    }
+
+    /** One request from its queueing to its answer. */
+    private final class Job {
+        private final Pool pool;
+        private final Request request;
+        private final Consumer<Reply> done;
+        private final Loop.Timer timer;
+        private ClientConnection connection;
+        private boolean finished;
+
+        Job(Pool pool, Request request, Consumer<Reply> done) {
+            this.pool = pool;
+            this.request = request;
+            this.done = done;
+            this.timer = loop.after(request.timeoutS(), this::timeOut);
+        }
+
+        private void timeOut() {
+            if (finished) {
+                return;
+            }
+            if (connection == null) {
+                pool.waiting.remove(this);
+                finish(Reply.NOT_SENT);
+            } else {
+                finish(Reply.LOST);
+                IoUtils.safeClose(connection);
+            }
+        }
+
+        void finish(Reply reply) {
+            if (finished) {
+                return;
+            }
+            finished = true;
+            timer.cancel();
+            XnioLoop.runGuarded(() -> done.accept(reply));
+        }
+
+        private void broken(IOException e) {
+            LOG.debug("{} {}{}: {}", request.method(), request.address(), request.path(), e.getMessage());
+            finish(Reply.LOST);
+            IoUtils.safeClose(connection);
+        }
+
+        void start(ClientConnection to) {
+            connection = to;
+            ClientRequest message = new ClientRequest();
+            message.setMethod(new HttpString(request.method()));
+            message.setPath(request.path());
+            message.getRequestHeaders().put(Headers.HOST, request.address());
+            byte[] body = request.body();
+            if (body.length > 0 || !request.method().equals("GET")) {
+                message.getRequestHeaders().put(Headers.CONTENT_LENGTH, body.length);
+                message.getRequestHeaders().put(Headers.CONTENT_TYPE, "application/json");
+            }
+            to.sendRequest(message, new ClientCallback<ClientExchange>() {
+                @Override
+                public void completed(ClientExchange exchange) {
+                    exchange.setResponseListener(new ClientCallback<ClientExchange>() {
+                        @Override
+                        public void completed(ClientExchange answer) {
+                            read(answer);
+                        }
+
+                        @Override
+                        public void failed(IOException e) {
+                            broken(e);
+                        }
+                    });
+                    if (body.length > 0) {
+                        write(exchange, ByteBuffer.wrap(body));
+                    }
+                }
+
+                @Override
+                public void failed(IOException e) {
+                    broken(e);
+                }
+            });
+        }
+
+        private void write(ClientExchange exchange, ByteBuffer body) {
+            StreamSinkChannel channel = exchange.getRequestChannel();
+            try {
+                while (body.hasRemaining()) {
+                    if (channel.write(body) == 0) {
+                        channel.getWriteSetter().set(c -> write(exchange, body));
+                        channel.resumeWrites();
+                        return;
+                    }
+                }
+                channel.shutdownWrites();
+                if (channel.flush()) {
+                    channel.suspendWrites();
+                } else {
+                    channel.getWriteSetter().set(ChannelListeners.flushingChannelListener(null, (c, e) -> broken(e)));
+                    channel.resumeWrites();
+                }
+            } catch (IOException e) {
+                broken(e);
+            }
+        }
+
+        private void read(ClientExchange answer) {
+            ByteArrayOutputStream body = new ByteArrayOutputStream(512);
+            drain(answer, answer.getResponseChannel(), body);
+        }
+
+        private void drain(ClientExchange answer, StreamSourceChannel channel, ByteArrayOutputStream body) {
+            try (PooledByteBuffer pooled = buffers.allocate()) {
+                ByteBuffer buffer = pooled.getBuffer();
+                while (true) {
+                    buffer.clear();
+                    int n = channel.read(buffer);
+                    if (n < 0) {
+                        break;
+                    }
+                    if (n == 0) {
+                        channel.getReadSetter().set(c -> drain(answer, channel, body));
+                        channel.resumeReads();
+                        return;
+                    }
+                    byte[] chunk = new byte[n];
+                    buffer.flip();
+                    buffer.get(chunk);
+                    body.write(chunk, 0, n);
+                }
+            } catch (IOException e) {
+                broken(e);
+                return;
+            }
+            int status = answer.getResponse().getResponseCode();
+            boolean close = "close".equalsIgnoreCase(answer.getResponse().getResponseHeaders().getFirst(Headers.CONNECTION));
+            // The connection goes back first, so that a follow-up sent from the answer's handler can use it.
+            if (close) {
+                IoUtils.safeClose(connection);
+            } else if (!finished) {
+                pool.idle.push(connection);
+            }
+            finish(new Reply(status, body.toByteArray()));
+            pool.pump();
+        }
+    }
+}
--- /dev/null
+++ b/src/main/java/org/springmill/transport/UndertowServer.java
@@ -0,0 +1,144 @@
+package org.springmill.transport;
+
+import io.undertow.UndertowOptions;
+import io.undertow.connector.ByteBufferPool;
+import io.undertow.io.Receiver;
+import io.undertow.server.HttpServerExchange;
+import io.undertow.server.protocol.http.HttpOpenListener;
+import io.undertow.util.Headers;
+import io.undertow.util.SameThreadExecutor;
+import java.io.IOException;
+import java.net.InetSocketAddress;
+import java.nio.ByteBuffer;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
+import org.xnio.ChannelListener;
+import org.xnio.ChannelListeners;
+import org.xnio.IoUtils;
+import org.xnio.OptionMap;
+import org.xnio.Options;
+import org.xnio.StreamConnection;
+import org.xnio.XnioWorker;
+import org.xnio.channels.AcceptingChannel;
+
+/** Reads whole requests on the I/O thread and hands them to one handler. */
+final class UndertowServer {
+    private static final Logger LOG = LoggerFactory.getLogger(UndertowServer.class);
+
+    static final int MAX_BODY_BYTES = 64 * 1024;
+    private static final int MAX_HEADER_BYTES = 8 * 1024;
+    /** A request that was begun has to be complete within this time; a half-sent one must not hold a socket. */
+    private static final int REQUEST_MS = 10_000;
+    private static final int IDLE_MS = 120_000;
+
+    private UndertowServer() {
+    }
+
+    static int start(XnioWorker worker, ByteBufferPool buffers, Loop loop, InetSocketAddress address, int maxSockets,
+            HttpHandler handler) throws IOException {
+        HttpOpenListener listener = new HttpOpenListener(buffers, OptionMap.builder()
+                .set(UndertowOptions.MAX_HEADER_SIZE, MAX_HEADER_BYTES)
+                .set(UndertowOptions.REQUEST_PARSE_TIMEOUT, REQUEST_MS)
+                .set(UndertowOptions.NO_REQUEST_TIMEOUT, IDLE_MS)
+                .set(UndertowOptions.ALWAYS_SET_DATE, false)
+                .set(UndertowOptions.ENABLE_HTTP2, false)
+                .getMap());
+        listener.setRootHandler(exchange -> receive(exchange, loop, handler));
+        ChannelListener<AcceptingChannel<StreamConnection>> acceptor = ChannelListeners.openListenerAdapter(listener);
+        // Connections past the high mark wait in the backlog: a flood must not take the sockets that this
+        // controller needs for the state service, the cloud and the workers' commands.
+        int high = Math.max(16, maxSockets * 6 / 10);
+        AcceptingChannel<StreamConnection> channel = worker.createStreamConnectionServer(address, acceptor,
+                OptionMap.builder()
+                        .set(Options.TCP_NODELAY, true)
+                        .set(Options.REUSE_ADDRESSES, true)
+                        .set(Options.BACKLOG, 256)
+                        .set(Options.CONNECTION_HIGH_WATER, high)
+                        .set(Options.CONNECTION_LOW_WATER, high - high / 8)
+                        .getMap());
+        channel.resumeAccepts();
+        return channel.getLocalAddress(InetSocketAddress.class).getPort();
+    }
+
+    private static void receive(HttpServerExchange exchange, Loop loop, HttpHandler handler) {
+        if (exchange.getRequestContentLength() > MAX_BODY_BYTES) {
+            exchange.setPersistent(false);
+            deliver(exchange, null, handler);
+            return;
+        }
+        if (exchange.isRequestComplete()) {
+            deliver(exchange, new byte[0], handler);
+            return;
+        }
+        Loop.Timer limit = loop.after(REQUEST_MS / 1000.0, () -> IoUtils.safeClose(exchange.getConnection()));
+        Receiver receiver = exchange.getRequestReceiver();
+        exchange.setMaxEntitySize(MAX_BODY_BYTES);
+        receiver.receiveFullBytes((e, body) -> {
+            limit.cancel();
+            deliver(e, body, handler);
+        }, (e, error) -> {
+            limit.cancel();
+            if (error instanceof Receiver.RequestToLargeException) {
+                e.setPersistent(false);
+                deliver(e, null, handler);
+            } else {
+                IoUtils.safeClose(e.getConnection());
+            }
+        });
+    }
+
+    private static void deliver(HttpServerExchange exchange, byte[] body, HttpHandler handler) {
+        exchange.dispatch(SameThreadExecutor.INSTANCE, () -> {
+            UndertowCall call = new UndertowCall(exchange, body);
+            try {
+                handler.handle(call);
+            } catch (RuntimeException e) {
+                LOG.error("{} {} failed", call.method(), call.path(), e);
+                call.reply(500, new byte[0], 0);
+            }
+        });
+    }
+
+    private static final class UndertowCall implements HttpHandler.Call {
+        private final HttpServerExchange exchange;
+        private final byte[] body;
+        private boolean replied;
+
+        UndertowCall(HttpServerExchange exchange, byte[] body) {
+            this.exchange = exchange;
+            this.body = body;
+        }
+
+        @Override
+        public String method() {
+            return exchange.getRequestMethod().toString();
+        }
+
+        @Override
+        public String path() {
+            return exchange.getRequestPath();
+        }
+
+        @Override
+        public byte[] body() {
+            return body;
+        }
+
+        @Override
+        public void reply(int status, byte[] answer, int retryAfterS) {
+            if (replied || exchange.isComplete()) {
+                return;
+            }
+            replied = true;
+            exchange.setStatusCode(status);
+            if (retryAfterS > 0) {
+                exchange.getResponseHeaders().put(Headers.RETRY_AFTER, retryAfterS);
+            }
+            if (answer.length > 0) {
+                exchange.getResponseHeaders().put(Headers.CONTENT_TYPE,
+                        answer[0] == '{' ? "application/json" : "text/plain; version=0.0.4");
+            }
+            exchange.getResponseSender().send(ByteBuffer.wrap(answer));
+        }
+    }
+}
--- /dev/null
+++ b/src/main/java/org/springmill/transport/XnioPeerLink.java
@@ -0,0 +1,203 @@
+package org.springmill.transport;
+
+import java.io.IOException;
+import java.net.InetSocketAddress;
+import java.nio.ByteBuffer;
+import java.util.ArrayDeque;
+import java.util.HashMap;
+import java.util.Map;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
+import org.xnio.ChannelListener;
+import org.xnio.IoFuture;
+import org.xnio.IoUtils;
+import org.xnio.OptionMap;
+import org.xnio.Options;
+import org.xnio.StreamConnection;
+import org.xnio.XnioIoThread;
+import org.xnio.XnioWorker;
+import org.xnio.channels.AcceptingChannel;
+import org.xnio.conduits.ConduitStreamSinkChannel;
+import org.xnio.conduits.ConduitStreamSourceChannel;
+
+/**
+ * Records over TCP, each behind its length. Every controller sends on connections that it opened itself and only
+ * reads from those it accepted, so that a half-dead connection of one direction never holds up the other.
+ */
+final class XnioPeerLink implements PeerLink {
+    private static final Logger LOG = LoggerFactory.getLogger(XnioPeerLink.class);
+
+    private static final int MAX_RECORD_BYTES = 32 * 1024;
+    private static final int MAX_QUEUED = 16;
+    private static final double CONNECT_TIMEOUT_S = 2.0;
+    private static final OptionMap OPTIONS = OptionMap.create(Options.TCP_NODELAY, true);
+
+    private final XnioIoThread thread;
+    private final Loop loop;
+    private final Map<String, Outgoing> outgoing = new HashMap<>();
+    private Listener listener = record -> { };
+
+    XnioPeerLink(XnioWorker worker, XnioIoThread thread, Loop loop, InetSocketAddress listen, Map<String, String> peers)
+            throws IOException {
+        this.thread = thread;
+        this.loop = loop;
+        peers.forEach((node, address) -> outgoing.put(node, new Outgoing(Addresses.parse(address))));
+        AcceptingChannel<StreamConnection> server = worker.createStreamConnectionServer(listen, channel -> {
+            try {
+                StreamConnection connection;
+                while ((connection = channel.accept()) != null) {
+                    read(connection);
+                }
+            } catch (IOException e) {
+                LOG.debug("accepting a peer: {}", e.getMessage());
+            }
+        }, OptionMap.builder().set(Options.TCP_NODELAY, true).set(Options.REUSE_ADDRESSES, true).getMap());
+        server.resumeAccepts();
+    }
+
+    @Override
+    public void onRecord(Listener taker) {
+        listener = taker;
+    }
+
+    @Override
+    public void send(String node, byte[] record) {
+        Outgoing to = outgoing.get(node);
+        if (to != null) {
+            to.send(record);
+        }
+    }
+
+    private void read(StreamConnection connection) {
+        ByteBuffer buffer = ByteBuffer.allocate(4 + MAX_RECORD_BYTES);
+        ConduitStreamSourceChannel source = connection.getSourceChannel();
+        ChannelListener<ConduitStreamSourceChannel> reader = channel -> {
+            try {
+                int n;
+                while ((n = channel.read(buffer)) > 0) {
+                    if (!deliver(buffer)) {
+                        IoUtils.safeClose(connection);
+                        return;
+                    }
+                }
+                if (n < 0) {
+                    IoUtils.safeClose(connection);
+                }
+            } catch (IOException e) {
+                IoUtils.safeClose(connection);
+            }
+        };
+        source.setReadListener(reader);
+        source.resumeReads();
+    }
+
+    /** Hands over every whole record; false if the sender breaks the bound. */
+    private boolean deliver(ByteBuffer buffer) {
+        buffer.flip();
+        while (buffer.remaining() >= 4) {
+            int length = buffer.getInt(buffer.position());
+            if (length < 0 || length > MAX_RECORD_BYTES) {
+                return false;
+            }
+            if (buffer.remaining() < 4 + length) {
+                break;
+            }
+            buffer.getInt();
+            byte[] record = new byte[length];
+            buffer.get(record);
+            XnioLoop.runGuarded(() -> listener.received(record));
+        }
+        buffer.compact();
+        return true;
+    }
+
+    private final class Outgoing {
+        private final InetSocketAddress address;
+        private final ArrayDeque<ByteBuffer> queue = new ArrayDeque<>();
+        private StreamConnection connection;
+        private IoFuture<StreamConnection> attempt;
+
+        Outgoing(InetSocketAddress address) {
+            this.address = address;
+        }
+
+        void send(byte[] record) {
+            if (queue.size() >= MAX_QUEUED) {
+                // The peer does not read: what is queued is stale by now, and so is the connection.
+                queue.clear();
+                close();
+            }
+            ByteBuffer framed = ByteBuffer.allocate(4 + record.length).putInt(record.length).put(record);
+            framed.flip();
+            queue.add(framed);
+            if (connection != null && connection.isOpen()) {
+                flush();
+            } else if (attempt == null) {
+                connect();
+            }
+        }
+
+        private void connect() {
+            IoFuture<StreamConnection> started = thread.openStreamConnection(address, this::opened, OPTIONS);
+            attempt = started;
+            loop.after(CONNECT_TIMEOUT_S, () -> {
+                if (attempt == started) {
+                    attempt = null;
+                    started.cancel();
+                    queue.clear();
+                }
+            });
+            started.addNotifier((future, ignored) -> {
+                if (future.getStatus() == IoFuture.Status.FAILED && attempt == started) {
+                    attempt = null;
+                    queue.clear();
+                }
+            }, null);
+        }
+
+        private void opened(StreamConnection opened) {
+            attempt = null;
+            connection = opened;
+            // Nothing is ever sent back on this connection; reading only tells when the peer has ended.
+            ConduitStreamSourceChannel source = opened.getSourceChannel();
+            ByteBuffer scrap = ByteBuffer.allocate(64);
+            source.setReadListener(channel -> {
+                try {
+                    scrap.clear();
+                    if (channel.read(scrap) < 0) {
+                        close();
+                    }
+                } catch (IOException e) {
+                    close();
+                }
+            });
+            source.resumeReads();
+            opened.getSinkChannel().setWriteListener(channel -> flush());
+            flush();
+        }
+
+        private void flush() {
+            ConduitStreamSinkChannel sink = connection.getSinkChannel();
+            try {
+                while (!queue.isEmpty()) {
+                    sink.write(queue.peek());
+                    if (queue.peek().hasRemaining()) {
+                        sink.resumeWrites();
+                        return;
+                    }
+                    queue.poll();
+                }
+                sink.flush();
+                sink.suspendWrites();
+            } catch (IOException e) {
+                close();
+            }
+        }
+
+        private void close() {
+            IoUtils.safeClose(connection);
+            connection = null;
+            queue.clear();
+        }
+    }
+}
