--- a/src/main/java/org/springmill/transport/UndertowServer.java
+++ b/src/main/java/org/springmill/transport/UndertowServer.java
@@ -71,9 +71,9 @@
             return;
         }
         Loop.Timer limit = loop.after(REQUEST_MS / 1000.0, () -> IoUtils.safeClose(exchange.getConnection()));
-        Receiver receiver = exchange.getRequestReceiver();
+        // The limit for bodies of undeclared length has to be set before the request's channel is taken.
         exchange.setMaxEntitySize(MAX_BODY_BYTES);
-        receiver.receiveFullBytes((e, body) -> {
+        exchange.getRequestReceiver().receiveFullBytes((e, body) -> {
             limit.cancel();
             deliver(e, body, handler);
         }, (e, error) -> {
