A worker's lease counts from when it first showed this term's token

Replicas ran twice after failovers: a worker that had shown the new leader's token over /orders but not yet reported counted as silent for a whole lease.

--- a/src/main/java/org/springmill/control/coordination/Machine.java
+++ b/src/main/java/org/springmill/control/coordination/Machine.java
@@ -47,6 +47,7 @@
     private long seq;
     private long lastReportSeq;
     private double lastAnswered = Double.NEGATIVE_INFINITY;
+    private double ownTokenSeen = Double.POSITIVE_INFINITY;
     private double lastHeard = Double.NEGATIVE_INFINITY;
     private double firstSeen;
     private double idleSince;
@@ -184,6 +185,9 @@
         session = report.session();
         seq = report.seq();
         seenToken = Math.max(seenToken, report.token());
+        if (termOf(seenToken) == termOf(token)) {
+            ownTokenSeen = Math.min(ownTokenSeen, now);
+        }
         lastHeard = now;
         reported = report.tasks();
         noticeAt = report.noticeS() == null ? Double.POSITIVE_INFINITY : now + report.noticeS();
@@ -201,6 +205,11 @@
         return lastAnswered;
     }
 
+    /** When a message first showed a token of this term; up to then an earlier leader may have renewed its lease. */
+    double ownTokenSeen() {
+        return ownTokenSeen;
+    }
+
     double lastHeard() {
         return lastHeard;
     }
--- a/src/main/java/org/springmill/control/coordination/Settling.java
+++ b/src/main/java/org/springmill/control/coordination/Settling.java
@@ -143,11 +143,9 @@
     /** When the last lease that anyone may have granted to a machine's worker has run out. */
     double leaseGoneAt(Machine machine) {
         double renewed = Math.max(machine.lastAnswered(), peers.othersMayRenewUntil());
-        if (Machine.termOf(machine.seenToken()) != fleet.term()) {
-            // It may still obey an earlier leader, or a controller that answers in an outage.
-            renewed = Math.max(renewed, tookOver + timing.othersS());
-        }
-        return renewed + timing.leaseS();
+        // Until the worker has seen this term's token it may obey an earlier leader, whose last answer is not known
+        // here: a worker that showed the token and then fell silent has its full lease from then on.
+        return Math.max(renewed, Math.min(machine.ownTokenSeen(), tookOver + timing.othersS())) + timing.leaseS();
     }
 
     /** Looks for claims past their window and for machines silent beyond their lease. */
