--- a/src/main/java/org/springmill/control/coordination/Ledger.java
+++ b/src/main/java/org/springmill/control/coordination/Ledger.java
@@ -23,13 +23,29 @@
         private final Settings.Team team;
         private double cpus;
         private double gpus;
+        private double heldCpus;
+        private double heldGpus;
 
         Usage(Settings.Team team) {
             this.team = team;
         }
 
         boolean allows(Submission spec) {
-            return team.withinLimit(cpus + spec.cpus(), gpus + spec.gpus());
+            return team.withinLimit(cpus + heldCpus + spec.cpus(), gpus + heldGpus + spec.gpus());
+        }
+
+        /**
+         * Keeps part of the limit for replicas that wait for a machine. A later job of the team would otherwise take
+         * it for as long as it lives, and the earlier one would find a machine and no limit left.
+         */
+        void hold(Submission spec, int tasks) {
+            heldCpus += spec.cpus() * tasks;
+            heldGpus += spec.gpus() * tasks;
+        }
+
+        void releaseHeld() {
+            heldCpus = 0;
+            heldGpus = 0;
         }
 
         boolean guaranteedFor(Submission spec) {
@@ -98,6 +114,10 @@
         usage.gpus += sign * attempt.job().spec().gpus();
     }
 
+    void releaseHeld() {
+        teams.values().forEach(Usage::releaseHeld);
+    }
+
     void noteEnded(Attempt attempt) {
         ended.add(attempt);
     }
--- a/src/main/java/org/springmill/control/coordination/Placement.java
+++ b/src/main/java/org/springmill/control/coordination/Placement.java
@@ -44,6 +44,7 @@
     List<Attempt> place(long round, int most) {
         double now = fleet.now();
         List<Attempt> placed = new ArrayList<>();
+        fleet.ledger().releaseHeld();
         for (Job job : waiting()) {
             if (now < job.notBefore()) {
                 continue;
@@ -55,6 +56,9 @@
                 }
                 Machine machine = choose(job);
                 if (machine == null) {
+                    if (job.spec().service()) {
+                        usage(job).hold(job.spec(), job.waiting());
+                    }
                     break;
                 }
                 Claim claim = Claim.decide(new TaskId(job.id(), task), machine.name(), round);
--- a/src/main/java/org/springmill/control/coordination/UserApi.java
+++ b/src/main/java/org/springmill/control/coordination/UserApi.java
@@ -119,7 +119,8 @@
                 }
                 // Not executed, or unknown: the same write again. It is applied once at most.
                 case NOT_NOW, UNKNOWN -> {
-                    if (loop.now() + timing.stateTimeoutS() < until && store.reachable()) {
+                    boolean outage = result.outcome() == StateStore.Outcome.NOT_NOW && !store.reachable();
+                    if (loop.now() + timing.stateTimeoutS() < until && !outage) {
                         loop.after(timing.pingS() / 4, () -> create(call, submission, until));
                     } else {
                         pending--;
@@ -231,7 +232,8 @@
                         directory.learn(new JobRecord(job.id(), job.submission(), Phase.CANCELLED, result.revision()));
                         LOG.debug("{} cancelled", job.id());
                         call.reply(200, UserMessages.phase(job.id(), Phase.CANCELLED), 0);
-                    } else if (loop.now() + timing.stateTimeoutS() > until || !store.reachable()) {
+                    } else if (loop.now() + timing.stateTimeoutS() > until
+                            || result.outcome() == StateStore.Outcome.NOT_NOW && !store.reachable()) {
                         later(call, "the state service does not answer");
                     } else {
                         // Refused: the record has moved on. No answer: the barrier tells whether it was applied.
--- /dev/null
+++ b/src/test/java/org/springmill/cli/SettingsTest.java
@@ -0,0 +1,114 @@
+package org.springmill.cli;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.io.ByteArrayOutputStream;
+import java.io.IOException;
+import java.io.PrintStream;
+import java.nio.charset.StandardCharsets;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import org.junit.jupiter.api.io.TempDir;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
+import picocli.CommandLine;
+
+class SettingsTest {
+    private static final String GOOD = """
+            node = "n-0"
+            site = "east"
+            api_addr = "10.0.0.1:8080"
+            peer_bind = "10.0.0.1:8081"
+            unheard_of = 5
+            [[seeds]]
+            node = "n-1"
+            site = "west"
+            addr = "10.0.0.2:8081"
+            [services]
+            cloud = "10.2.0.2:8443"
+            state = "10.2.0.1:2379"
+            [cluster]
+            nodes = 2
+            zones = ["east", "west"]
+            skew_ms = 1000.0
+            [[cluster.teams]]
+            name = "red"
+            cpus = 200.0
+            [cluster.workers]
+            report_s = 2.5
+            lease_s = 14.0
+            cancel_s = 44.0
+            [cluster.state]
+            rps = 150.0
+            write_rps = 60.0
+            value_kb = 8.0
+            txn_ops = 16
+            [cluster.cloud]
+            rps = 4.0
+            list_lag_s = 6.0
+            [cluster.machine_limits]
+            cpu_share = 0.255
+            ram_mb = 176.0
+            max_sockets = 800
+            """;
+
+    @TempDir
+    private Path folder;
+
+    private record Ran(int code, String out, String err) {
+    }
+
+    /** Runs the command line as a user would, catching what it prints. */
+    private static Ran run(String... args) {
+        PrintStream out = System.out;
+        PrintStream err = System.err;
+        ByteArrayOutputStream outBytes = new ByteArrayOutputStream();
+        ByteArrayOutputStream errBytes = new ByteArrayOutputStream();
+        try {
+            System.setOut(new PrintStream(outBytes, true, StandardCharsets.UTF_8));
+            System.setErr(new PrintStream(errBytes, true, StandardCharsets.UTF_8));
+            int code = new CommandLine(new Main()).execute(args);
+            return new Ran(code, outBytes.toString(StandardCharsets.UTF_8), errBytes.toString(StandardCharsets.UTF_8));
+        } finally {
+            System.setOut(out);
+            System.setErr(err);
+        }
+    }
+
+    @ParameterizedTest
+    @CsvSource(delimiter = '|', quoteCharacter = '`', value = {
+        "node = \"n-0\"        | node = \"n-0\"           | 0 | fine",
+        "node = \"n-0\"        | ``                       | 2 | node is missing",
+        "node = \"n-0\"        | node = \"\"              | 2 | node must be a text",
+        "node = \"n-0\"        | node = \"n-1\"           | 2 | seeds[0].node",
+        "10.0.0.1:8080         | 10.0.0.1                 | 2 | api_addr",
+        "10.0.0.2:8081         | 10.0.0.2:port            | 2 | seeds[0].addr",
+        "state = \"10.2        | estate = \"10.2          | 2 | services.state",
+        "lease_s = 14.0        | lease_s = 0              | 2 | cluster.workers.lease_s",
+        "lease_s = 14.0        | lease_s = \"14\"         | 2 | cluster.workers.lease_s",
+        "rps = 150.0           | rps = -1                 | 2 | cluster.state.rps",
+        "cpus = 200.0          | cpus = true              | 2 | cluster.teams[0].cpus",
+        "txn_ops = 16          | txn_ops = nan            | 2 | cluster.state.txn_ops",
+        "[cluster.cloud]       | [cluster.cloud           | 2 | not valid TOML",
+    })
+    void settingsAreCheckedWithTheFieldNamed(String from, String to, int code, String says) throws IOException {
+        assertTrue(GOOD.contains(from));
+        Path file = Files.writeString(folder.resolve("service.toml"), GOOD.replace(from, to));
+        Ran ran = run("check", "--config", file.toString());
+        assertEquals(code, ran.code(), ran.err());
+        String said = ran.out() + ran.err();
+        assertTrue(said.contains(says) && said.contains(file.toString()), said);
+        assertFalse(said.contains("Exception"), said);
+    }
+
+    @ParameterizedTest
+    @CsvSource({"--help, 0, check", "--version, 0, springmill", "run --config nowhere.toml, 2, cannot be read",
+        "run, 2, --config", "dance, 2, dance"})
+    void theCommandLineExplainsItself(String args, int code, String says) {
+        Ran ran = run(args.split(" "));
+        assertEquals(code, ran.code());
+        assertTrue((ran.out() + ran.err()).contains(says), ran.out() + ran.err());
+    }
+}
--- /dev/null
+++ b/src/test/java/org/springmill/control/coordination/AttemptTest.java
@@ -0,0 +1,38 @@
+package org.springmill.control.coordination;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
+import org.springmill.control.coordination.Attempt.State;
+import org.springmill.control.storage.Claim;
+import org.springmill.protocol.TaskId;
+
+class AttemptTest {
+    @ParameterizedTest
+    @CsvSource({
+        "CLAIMED SENT FETCHING RUNNING ENDED GONE, true",
+        "CLAIMED SENT RUNNING STOPPING ENDED GONE, true",
+        "CLAIMED SENT UNKNOWN RUNNING ENDED GONE,  true",
+        "UNKNOWN FETCHING RUNNING STOPPING ENDED,  true",
+        "CLAIMED ENDED GONE,                       true",
+        "SENT,                                     false",
+        "CLAIMED SENT UNKNOWN SENT,                false",
+        "CLAIMED SENT ENDED RUNNING,               false",
+        "CLAIMED SENT STOPPING RUNNING,            false",
+        "CLAIMED GONE,                             false",
+        "ENDED,                                    false",
+    })
+    void onlyLegalChangesAreMade(String path, boolean legal) {
+        Claim claim = Claim.decide(new TaskId("run-000001", 0), "host-000001", 7);
+        Attempt attempt = new Attempt(claim, null, null, 0);
+        boolean all = true;
+        for (String state : path.trim().split(" ")) {
+            State before = attempt.state();
+            boolean changed = attempt.transition(State.valueOf(state), 1);
+            assertEquals(changed ? State.valueOf(state) : before, attempt.state());
+            all &= changed;
+        }
+        assertEquals(legal, all);
+    }
+}
--- /dev/null
+++ b/src/test/java/org/springmill/control/coordination/FailureTest.java
@@ -0,0 +1,428 @@
+package org.springmill.control.coordination;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertNotEquals;
+import static org.junit.jupiter.api.Assertions.assertNotNull;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.nio.charset.StandardCharsets;
+import java.util.ArrayList;
+import java.util.List;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
+import org.junit.jupiter.params.provider.EnumSource;
+import org.junit.jupiter.params.provider.ValueSource;
+import org.springmill.sim.SimNetwork.Fate;
+import org.springmill.sim.SimWorker;
+import org.springmill.sim.World;
+import org.springmill.transport.HttpClient.Request;
+
+/** The whole service against its stand-ins, under the failures that the rules have to survive. */
+class FailureTest {
+    private static final String JOB = "run-000001";
+    private static final String TASK = JOB + "/0";
+
+    private World world;
+
+    @BeforeEach
+    void threeControllersAndFourMachines() {
+        world = new World().machines("large", "a", 2).machines("large", "b", 2).run(6);
+        assertNotEquals(-1, world.leader());
+    }
+
+    @AfterEach
+    void noRuleIsBroken() {
+        assertEquals(List.of(), world.broken());
+    }
+
+    private static boolean starts(Request request) {
+        return request.path().equals("/orders") && new String(request.body(), StandardCharsets.UTF_8).contains("\"start\"");
+    }
+
+    private static boolean toState(Request request) {
+        return request.address().equals("state:1");
+    }
+
+    private int follower() {
+        return (world.leader() + 1) % 3;
+    }
+
+    @ParameterizedTest
+    @ValueSource(ints = {0, 1, 2})
+    void aJobRunsWhereverItIsSubmitted(int node) {
+        assertEquals(201, world.submit(node, World.job(JOB, "red", "sweep", 3, 1, 1), 5));
+        assertEquals(200, world.submit(node, World.job(JOB, "red", "sweep", 3, 1, 1), 5));
+        world.run(12);
+        for (int i = 0; i < 3; i++) {
+            assertEquals("done", world.phase(i, JOB));
+            assertEquals(1, world.starts(JOB + "/" + i));
+        }
+        // A retry may come at any time, also after the end.
+        assertEquals(200, world.submit(follower(), World.job(JOB, "red", "sweep", 3, 1, 1), 5));
+    }
+
+    /** The moments at which a leader may die around a start. */
+    enum Moment {
+        /** Between the commit of the claim and the sending of the start. */
+        BEFORE_SEND(Fate.DROP),
+        /** Between the sending and the answer. */
+        BEFORE_ANSWER(Fate.LOSE_ANSWER),
+        /** The start is held up by the network and arrives long after. */
+        HELD(Fate.HOLD);
+
+        private final Fate fate;
+
+        Moment(Fate fate) {
+            this.fate = fate;
+        }
+    }
+
+    @ParameterizedTest
+    @EnumSource(Moment.class)
+    void aLeaderDiesAroundAStart(Moment moment) {
+        int leader = world.leader();
+        world.network().judge((from, request) -> {
+            if (from.equals("n-" + leader) && starts(request)) {
+                world.clock().after(0.0001, () -> world.kill(leader));
+                return moment.fate;
+            }
+            return Fate.DELIVER;
+        });
+        world.submit(follower(), World.job(JOB, "red", "service", 1, 1, 1), Double.POSITIVE_INFINITY);
+        world.run(30);
+        assertEquals(1, world.running(JOB));
+        world.network().releaseHeld();
+        world.run(10);
+        assertEquals(1, world.running(JOB));
+        assertEquals(1, world.starts(TASK));
+        assertEquals("running", world.phase(follower(), JOB));
+    }
+
+    @ParameterizedTest
+    @EnumSource(value = Fate.class, names = {"LOSE_ANSWER", "HOLD", "DROP", "REFUSE"})
+    void aStartIsUncertainWhileTheLeaderLives(Fate fate) {
+        boolean[] once = new boolean[1];
+        world.network().judge((from, request) -> {
+            if (starts(request) && !once[0]) {
+                once[0] = true;
+                return fate;
+            }
+            return Fate.DELIVER;
+        });
+        world.submit(0, World.job(JOB, "red", "service", 1, 1, 1), Double.POSITIVE_INFINITY);
+        world.run(40);
+        assertEquals(1, world.running(JOB));
+        world.network().releaseHeld();
+        world.run(5);
+        assertEquals(1, world.running(JOB));
+    }
+
+    @Test
+    void aHeldStartArrivesAfterItsTaskWasClearedAndDoesNothing() {
+        List<Request> seen = new ArrayList<>();
+        world.network().judge((from, request) -> {
+            if (starts(request)) {
+                seen.add(request);
+            }
+            return Fate.DELIVER;
+        });
+        world.submit(0, World.job(JOB, "red", "sweep", 1, 1, 1), 3);
+        world.run(10);
+        assertEquals("done", world.phase(0, JOB));
+        seen.forEach(world.network()::repeat);
+        world.run(10);
+        assertEquals(1, world.starts(TASK));
+    }
+
+    @Test
+    void lateCopiesOfReportsRenewNothingAndProveNothing() {
+        world.submit(0, World.job(JOB, "red", "service", 2, 1, 1), Double.POSITIVE_INFINITY);
+        List<Request> copies = new ArrayList<>();
+        world.network().judge((from, request) -> {
+            if (request.path().equals("/v1/report")) {
+                copies.add(request);
+            }
+            return Fate.DELIVER;
+        });
+        world.run(10);
+        SimWorker victim = world.holder(TASK);
+        victim.hang(true);
+        // Copies of what it said before keep coming; its task still has to be found gone after one lease.
+        for (int i = 0; i < 40; i++) {
+            copies.stream().filter(r -> new String(r.body(), StandardCharsets.UTF_8).contains(victim.name()))
+                    .limit(3).forEach(world.network()::repeat);
+            world.run(1);
+        }
+        assertEquals(2, world.cloud().machines().values().stream().filter(m -> m != victim)
+                .mapToInt(SimWorker::running).sum());
+    }
+
+    /** A node that loses one thing or several, for so long. */
+    @ParameterizedTest
+    @CsvSource({
+        "state,                10", "state,                40",
+        "state peers,          10", "state peers,          40",
+        "state peers users,    60", "workers,              30",
+        "state peers workers,  60",
+    })
+    void theLeaderIsCutOff(String what, double forS) {
+        world.submit(0, World.job(JOB, "red", "service", 4, 1, 1), Double.POSITIVE_INFINITY);
+        world.run(8);
+        assertEquals(4, world.running(JOB));
+        int cut = world.leader();
+        String name = "n-" + cut;
+        world.cutPeers(cut, what.contains("peers"));
+        world.network().judge((from, request) -> {
+            boolean fromWorker = from.startsWith("host-") && request.address().equals("10.0.0." + cut + ":8080");
+            boolean lost = from.equals(name) && (what.contains("state") && toState(request)
+                    || what.contains("workers") && request.address().startsWith("10.1."))
+                    || what.contains("workers") && fromWorker || what.contains("users") && from.equals("user");
+            return lost ? Fate.DROP : Fate.DELIVER;
+        });
+        world.run(forS);
+        world.network().judge((from, request) -> Fate.DELIVER);
+        world.cutPeers(cut, false);
+        world.run(40);
+        assertEquals(4, world.running(JOB));
+    }
+
+    @Test
+    void machinesThatObeyACutOffLeaderKeepTheirTasksUntilTheirLeaseIsOver() {
+        world.submit(0, World.job(JOB, "red", "service", 2, 1, 1), Double.POSITIVE_INFINITY);
+        world.run(8);
+        int cut = world.leader();
+        SimWorker follows = world.holder(TASK);
+        world.cutPeers(cut, true);
+        // One machine is alone with the old leader: nobody else reaches it, nor it them.
+        world.network().judge((from, request) -> {
+            boolean oldLeader = from.equals("n-" + cut) && toState(request);
+            boolean outwards = from.equals(follows.name()) && !request.address().equals("10.0.0." + cut + ":8080");
+            boolean inwards = !from.equals("n-" + cut) && request.address().equals(follows.address());
+            return oldLeader || outwards || inwards ? Fate.DROP : Fate.DELIVER;
+        });
+        world.run(15);
+        assertNotEquals(cut, world.leader());
+        // Cancelled meanwhile: within the time allowed everything has to be gone there too.
+        assertEquals("cancelled", world.withdraw((cut + 1) % 3, JOB));
+        world.run(50);
+        assertEquals(0, world.running(JOB));
+    }
+
+    @ParameterizedTest
+    @CsvSource({"20, none", "20, leader", "20, all", "30, all"})
+    void anOutageOfTheStateServiceKillsNoTask(double forS, String killed) {
+        world.submit(0, World.job(JOB, "red", "service", 4, 1, 1), Double.POSITIVE_INFINITY);
+        world.run(8);
+        int leader = world.leader();
+        world.state().setDown(true);
+        world.run(5);
+        for (int i = 0; i < 3; i++) {
+            if (killed.equals("all") || killed.equals("leader") && i == leader) {
+                world.restart(i);
+            }
+        }
+        world.run(forS - 5);
+        assertEquals("503", world.phase(0, JOB).replace("running", "503"));
+        world.state().setDown(false);
+        world.run(15);
+        assertEquals(4, world.running(JOB));
+        for (int i = 0; i < 4; i++) {
+            assertEquals(1, world.starts(JOB + "/" + i), "task " + i);
+        }
+        assertEquals(201, world.submit(1, World.job("run-000002", "red", "sweep", 1, 1, 1), 1));
+    }
+
+    @Test
+    void aLoneControllerInAnOutageStopsAnsweringReports() {
+        world.submit(0, World.job(JOB, "red", "service", 1, 1, 1), Double.POSITIVE_INFINITY);
+        world.run(8);
+        for (int i = 0; i < 3; i++) {
+            if (i != world.leader()) {
+                world.kill(i);
+            }
+        }
+        SimWorker holder = world.holder(TASK);
+        world.state().setDown(true);
+        world.run(30);
+        // It cannot know whether the others lead by now, so its workers' leases have to run out.
+        assertTrue(holder.session() > 1);
+        assertEquals(0, holder.running());
+    }
+
+    @ParameterizedTest
+    @ValueSource(doubles = {0, 0.05, 0.5, 3})
+    void aCancelledJobIsGoneInTimeAlsoWhereTheWorkerCannotBeReached(double afterS) {
+        world.submit(0, World.job(JOB, "red", "service", 3, 1, 1), Double.POSITIVE_INFINITY);
+        world.run(afterS);
+        int[] dropped = new int[1];
+        world.network().judge((from, request) -> {
+            boolean orders = request.path().equals("/orders");
+            dropped[0] += orders ? 1 : 0;
+            return orders ? Fate.HOLD : Fate.DELIVER;
+        });
+        assertEquals("cancelled", world.withdraw(1, JOB));
+        assertEquals("cancelled", world.withdraw(2, JOB));
+        world.run(50);
+        assertEquals(0, world.running(JOB));
+        world.network().releaseHeld();
+        world.run(10);
+        assertEquals(0, world.running(JOB));
+        assertEquals("cancelled", world.phase(0, JOB));
+    }
+
+    @Test
+    void doneAndCancelledNeverBothStand() {
+        for (int i = 0; i < 12; i++) {
+            String id = String.format("run-%06d", 100 + i);
+            world.submit(i % 3, World.job(id, "red", "sweep", 1, 1, 0), 2);
+            world.run(2.7 + 0.1 * i);
+            String told = world.withdraw((i + 1) % 3, id);
+            assertTrue(told.equals("done") || told.equals("cancelled"), told);
+            world.run(5);
+            for (int node = 0; node < 3; node++) {
+                assertEquals(told, world.phase(node, id));
+            }
+        }
+    }
+
+    @Test
+    void aWriteOfAnEarlierLeaderThatIsAppliedLateChangesNothing() {
+        int old = world.leader();
+        boolean[] hold = {true};
+        world.network().judge((from, request) -> hold[0] && from.equals("n-" + old) && request.path().equals("/commit")
+                && new String(request.body(), StandardCharsets.UTF_8).contains("round/") ? Fate.HOLD : Fate.DELIVER);
+        world.submit(follower(), World.job(JOB, "red", "service", 2, 1, 1), Double.POSITIVE_INFINITY);
+        world.run(1);
+        assertEquals(0, world.running(JOB));
+        world.kill(old);
+        hold[0] = false;
+        world.run(20);
+        assertEquals(2, world.running(JOB));
+        List<String> before = world.state().keysUnder("round/");
+        world.network().releaseHeld();
+        assertEquals(before, world.state().keysUnder("round/"));
+        world.restart(old);
+        world.kill(world.leader());
+        world.run(20);
+        assertEquals(2, world.running(JOB));
+        assertEquals(1, world.starts(TASK));
+    }
+
+    @Test
+    void aCommitWithoutAnswerIsNeitherLostNorDoubled() {
+        int[] lost = new int[1];
+        world.network().judge((from, request) -> request.path().equals("/commit") && ++lost[0] % 2 == 1
+                ? Fate.LOSE_ANSWER : Fate.DELIVER);
+        for (int i = 0; i < 6; i++) {
+            int status = 503;
+            for (int tries = 0; tries < 5 && status == 503; tries++) {
+                status = world.submit(i % 3, World.job("run-00020" + i, "blue", "sweep", 2, 1, 0), 2);
+            }
+            assertTrue(status == 201 || status == 200, "status " + status);
+        }
+        world.run(20);
+        for (int i = 0; i < 6; i++) {
+            assertEquals("done", world.phase(i % 3, "run-00020" + i));
+            assertEquals(1, world.starts("run-00020" + i + "/0"));
+        }
+    }
+
+    @Test
+    void limitsAndSpreadHoldWhileClaimsAreUnknown() {
+        var spread = World.job(JOB, "red", "service", 6, 1, 2);
+        spread.put("apart", true);
+        world.submit(0, spread, Double.POSITIVE_INFINITY);
+        world.run(8);
+        assertEquals(6, world.running(JOB));
+        // Two machines fall silent with what they run; the limit of 16 leaves room for two more tasks, not for six.
+        List<SimWorker> silent = world.cloud().machines().values().stream().limit(2).toList();
+        silent.forEach(w -> w.hang(true));
+        world.submit(1, World.job("run-000002", "red", "service", 5, 1, 2), Double.POSITIVE_INFINITY);
+        world.run(60);
+        silent.forEach(w -> w.hang(false));
+        world.run(40);
+        assertEquals(6, world.running(JOB));
+        assertEquals(2, world.running("run-000002"));
+    }
+
+    @Test
+    void everyControllerIsRestartedInTurnAndThenAllAtOnce() {
+        world.submit(0, World.job(JOB, "blue", "service", 8, 1, 1), Double.POSITIVE_INFINITY);
+        world.submit(0, World.job("run-000002", "blue", "sweep", 40, 1, 1), 6);
+        for (int i = 0; i < 6; i++) {
+            world.run(5);
+            world.restart(i % 3);
+        }
+        world.run(5);
+        for (int i = 0; i < 3; i++) {
+            world.restart(i);
+        }
+        world.run(60);
+        assertEquals(8, world.running(JOB));
+        assertEquals("done", world.phase(1, "run-000002"));
+        for (int i = 0; i < 8; i++) {
+            assertEquals(1, world.starts(JOB + "/" + i), "task " + i);
+        }
+    }
+
+    @Test
+    void ordersDoNotReachAMachineWhoseReportsArrive() {
+        SimWorker deaf = world.cloud().machines().values().iterator().next();
+        world.network().judge((from, request) -> request.address().equals(deaf.address()) ? Fate.DROP : Fate.DELIVER);
+        for (int i = 0; i < 8; i++) {
+            world.submit(0, World.job("run-00030" + i, "blue", "service", 1, 1, 2), Double.POSITIVE_INFINITY);
+        }
+        world.run(60);
+        for (int i = 0; i < 8; i++) {
+            assertEquals(1, world.running("run-00030" + i), "job " + i);
+        }
+    }
+
+    @Test
+    void aFaultyMachineIsToldFromAFaultyJob() {
+        SimWorker faulty = world.cloud().machines().values().iterator().next();
+        faulty.failEverything();
+        for (int i = 0; i < 8; i++) {
+            world.submit(0, World.job("run-00040" + i, "blue", "sweep", 4, 1, 1), 5);
+        }
+        world.run(90);
+        for (int i = 0; i < 8; i++) {
+            assertEquals("done", world.phase(0, "run-00040" + i), "job " + i);
+        }
+    }
+
+    @Test
+    void aNoticedMachineIsLeftInTime() {
+        world.submit(0, World.job(JOB, "red", "service", 1, 1, 1), Double.POSITIVE_INFINITY);
+        world.run(5);
+        SimWorker first = world.holder(TASK);
+        first.notice(10);
+        world.run(5);
+        assertNotNull(world.holder(TASK));
+        assertNotEquals(first.name(), world.holder(TASK).name());
+    }
+
+    @Test
+    void waitingWorkIsGivenRentedMachines() {
+        world.submit(0, World.job(JOB, "blue", "service", 6, 1, 8), Double.POSITIVE_INFINITY);
+        world.run(45);
+        assertEquals(6, world.running(JOB));
+        assertEquals("cancelled", world.withdraw(0, JOB));
+        world.run(200);
+        assertEquals(0, world.cloud().machines().size(), "idle machines go back");
+    }
+
+    @Test
+    void oldRoundsAreCompactedAndALargeJobIsRebuilt() {
+        world.submit(0, World.job(JOB, "blue", "sweep", 2000, 1, 0), 1.5);
+        world.run(60);
+        world.kill(world.leader());
+        world.run(120);
+        assertTrue(world.state().keysUnder("round/").size() < 60, "rounds kept: " + world.state().keysUnder("round/").size());
+        world.run(100);
+        assertEquals("done", world.phase(follower(), JOB));
+    }
+}
--- /dev/null
+++ b/src/test/java/org/springmill/control/storage/DoneMarksTest.java
@@ -0,0 +1,28 @@
+package org.springmill.control.storage;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.util.BitSet;
+import java.util.List;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
+
+class DoneMarksTest {
+    /** Sets given as first, step, end. */
+    @ParameterizedTest
+    @CsvSource({"0, 1, 1", "5, 1, 6", "0, 1, 100000", "0, 2, 100000", "1, 3, 100000", "16383, 1, 16386", "99999, 1, 100000"})
+    void setsSurviveInPiecesThatFitAValue(int first, int step, int end) {
+        BitSet set = new BitSet();
+        for (int i = first; i < end; i += step) {
+            set.set(i);
+        }
+        List<String> pieces = DoneMarks.encode(set);
+        BitSet read = new BitSet();
+        for (String piece : pieces) {
+            assertTrue(piece.length() < 4096);
+            DoneMarks.decode(piece, read);
+        }
+        assertEquals(set, read);
+    }
+}
--- /dev/null
+++ b/src/test/java/org/springmill/sim/SimCloud.java
@@ -0,0 +1,96 @@
+package org.springmill.sim;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.ObjectMapper;
+import com.fasterxml.jackson.databind.node.ArrayNode;
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import java.util.HashMap;
+import java.util.LinkedHashMap;
+import java.util.Map;
+import org.springmill.transport.HttpClient.Reply;
+import org.springmill.transport.HttpClient.Request;
+
+/** A stand-in for the cloud: one small and one large machine type in two zones. */
+public final class SimCloud {
+    private static final ObjectMapper JSON = new ObjectMapper();
+    static final double BOOT_S = 20;
+
+    private final World world;
+    private final Map<String, SimWorker> machines = new LinkedHashMap<>();
+    private final Map<String, ArrayNode> rentals = new HashMap<>();
+    private int named;
+    private boolean empty;
+
+    SimCloud(World world) {
+        this.world = world;
+    }
+
+    /** From now on no machine is to be had. */
+    public void runOut() {
+        empty = true;
+    }
+
+    public Map<String, SimWorker> machines() {
+        return machines;
+    }
+
+    SimWorker add(String type, String zone, boolean spot, double bootS) {
+        String name = String.format("host-%06d", ++named);
+        SimWorker worker = new SimWorker(world, name, "10.1.0." + named + ":9000", type, zone, spot);
+        machines.put(name, worker);
+        world.clock().after(bootS, worker::boot);
+        return worker;
+    }
+
+    Reply handle(Request request) {
+        ObjectNode out = JSON.createObjectNode();
+        if (request.path().equals("/machine_types")) {
+            ArrayNode frames = out.putArray("frames");
+            type(frames, "small", 4, 0, 16, 0.2);
+            type(frames, "large", 32, 8, 256, 10);
+            return SimState.reply(200, out);
+        }
+        JsonNode body = request.body().length == 0 ? null : SimState.parse(request.body());
+        if (request.path().equals("/rentals")) {
+            return rent(body);
+        }
+        if (request.path().equals("/rentals/delete")) {
+            for (JsonNode name : body.path("stones")) {
+                SimWorker gone = machines.remove(name.asText());
+                if (gone != null) {
+                    gone.destroy();
+                }
+            }
+            return SimState.reply(200, out);
+        }
+        ArrayNode stones = out.putArray("stones");
+        machines.forEach((name, m) -> stones.addObject().put("nameId", name).put("addr", m.address())
+                .put("frame", m.type()).put("yard", m.zone()).put("loaner", m.spot())
+                .put("phase", m.up() ? "running" : "starting").put("heldS", 1.0));
+        return SimState.reply(200, out.put("truncated", false));
+    }
+
+    private Reply rent(JsonNode body) {
+        String name = body.path("hire").asText();
+        if (!rentals.containsKey(name)) {
+            if (empty) {
+                return SimState.reply(503, JSON.createObjectNode().put("error", "no capacity"));
+            }
+            ArrayNode rented = JSON.createArrayNode();
+            for (int i = 0; i < body.path("count").asInt(); i++) {
+                rented.add(add(body.path("frame").asText(), body.path("yard").asText(), body.path("loaner").asBoolean(),
+                        BOOT_S).name());
+            }
+            rentals.put(name, rented);
+        }
+        ObjectNode out = JSON.createObjectNode();
+        out.set("stones", rentals.get(name));
+        return SimState.reply(200, out);
+    }
+
+    private static void type(ArrayNode into, String name, double cpus, double gpus, double memory, double price) {
+        into.addObject().put("sku", name).put("vcpus", cpus).put("cards", gpus).put("memGb", memory)
+                .put("localGb", 100.0).put("pullGbPerS", 1.0).put("price", price).put("marketPrice", price / 3)
+                .put("bootS", BOOT_S).putArray("yards").add("a").add("b");
+    }
+}
--- /dev/null
+++ b/src/test/java/org/springmill/sim/SimWorker.java
@@ -0,0 +1,275 @@
+package org.springmill.sim;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.ObjectMapper;
+import com.fasterxml.jackson.databind.node.ArrayNode;
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import org.springmill.transport.HttpClient.Reply;
+import org.springmill.transport.HttpClient.Request;
+
+/** A stand-in for a worker, written from the published protocol. */
+public final class SimWorker {
+    private static final ObjectMapper JSON = new ObjectMapper();
+
+    /** A task on this machine. */
+    static final class Task {
+        final String id;
+        final long attempt;
+        String phase = "pulling";
+        String cause;
+
+        Task(String id, long attempt) {
+            this.id = id;
+            this.attempt = attempt;
+        }
+
+        boolean onMachine() {
+            return phase.equals("running") || phase.equals("saving");
+        }
+    }
+
+    private final World world;
+    private final String name;
+    private final String address;
+    private final String type;
+    private final String zone;
+    private final boolean spot;
+    private final Map<String, Task> tasks = new LinkedHashMap<>();
+    private long session = 1;
+    private long seq;
+    private long token;
+    private double renewedAt;
+    private Double noticeS;
+    private boolean up;
+    private boolean gone;
+    private boolean hung;
+    private int node;
+    private boolean reporting;
+    private boolean failing;
+
+    SimWorker(World world, String name, String address, String type, String zone, boolean spot) {
+        this.world = world;
+        this.name = name;
+        this.address = address;
+        this.type = type;
+        this.zone = zone;
+        this.spot = spot;
+    }
+
+    public String name() {
+        return name;
+    }
+
+    public String address() {
+        return address;
+    }
+
+    String type() {
+        return type;
+    }
+
+    public String zone() {
+        return zone;
+    }
+
+    boolean spot() {
+        return spot;
+    }
+
+    public boolean up() {
+        return up;
+    }
+
+    public long session() {
+        return session;
+    }
+
+    public int running() {
+        return (int) tasks.values().stream().filter(Task::onMachine).count();
+    }
+
+    public boolean runs(String task) {
+        return tasks.values().stream().anyMatch(t -> t.id.equals(task) && t.onMachine());
+    }
+
+    public void notice(double seconds) {
+        noticeS = seconds;
+        report();
+    }
+
+    /** Every task that starts here fails at once from now on. */
+    public void failEverything() {
+        failing = true;
+    }
+
+    public void hang(boolean now) {
+        hung = now;
+    }
+
+    void boot() {
+        if (!gone) {
+            up = true;
+            renewedAt = world.clock().now();
+            loop();
+        }
+    }
+
+    void destroy() {
+        gone = true;
+        up = false;
+        tasks.clear();
+    }
+
+    private void loop() {
+        if (gone) {
+            return;
+        }
+        checkLease();
+        report();
+        world.clock().after(World.REPORT_S, this::loop);
+    }
+
+    private void checkLease() {
+        if (!hung && world.clock().now() - renewedAt > World.LEASE_S) {
+            tasks.clear();
+            session++;
+            renewedAt = world.clock().now();
+        }
+    }
+
+    ObjectNode reportBody() {
+        ObjectNode body = JSON.createObjectNode().put("stone", name).put("addr", address).put("frame", type)
+                .put("yard", zone).put("loaner", spot).put("shift", session).put("tally", ++seq).put("baton", token);
+        if (noticeS != null) {
+            body.put("warningS", noticeS);
+        }
+        ArrayNode sacks = body.putArray("sacks");
+        for (Task task : tasks.values()) {
+            ObjectNode sack = sacks.addObject().put("sack", task.id).put("try", task.attempt).put("phase", task.phase);
+            if (task.cause != null) {
+                sack.put("cause", task.cause);
+            }
+        }
+        return body;
+    }
+
+    private void report() {
+        if (reporting || gone || hung || !up) {
+            return;
+        }
+        reporting = true;
+        double sent = world.clock().now();
+        long sentSession = session;
+        byte[] body = reportBody().toString().getBytes(java.nio.charset.StandardCharsets.UTF_8);
+        int to = node;
+        world.network().send(name, new Request(world.apiOf(to), "POST", "/v1/report", body, 4), reply -> {
+            reporting = false;
+            if (gone || hung) {
+                return;
+            }
+            checkLease();
+            if (reply.status() == 200) {
+                JsonNode answer = SimState.parse(reply.body());
+                boolean valid = answer.has("baton") && answer.path("baton").asLong() >= token && session == sentSession;
+                if (valid) {
+                    token = answer.path("baton").asLong();
+                    renewedAt = sent;
+                    execute(answer.path("orders"));
+                }
+            } else if (reply.status() == 421 && SimState.parse(reply.body()).has("foreman")) {
+                node = Integer.parseInt(SimState.parse(reply.body()).path("foreman").asText().substring(2));
+                world.clock().after(0.1, this::report);
+            } else {
+                node = (to + 1) % World.NODES;
+                world.clock().after(1, this::report);
+            }
+        });
+    }
+
+    Reply orders(byte[] bytes) {
+        checkLease();
+        JsonNode body = SimState.parse(bytes);
+        if (!body.has("baton") || !body.has("shift")) {
+            return new Reply(400, new byte[0]);
+        }
+        boolean refused = body.path("baton").asLong() < token || body.path("shift").asLong() != session;
+        if (!refused) {
+            token = body.path("baton").asLong();
+            execute(body.path("orders"));
+        }
+        return SimState.reply(refused ? 409 : 200, reportBody());
+    }
+
+    boolean reachable() {
+        return up && !gone && !hung;
+    }
+
+    private void execute(JsonNode orders) {
+        for (JsonNode order : orders) {
+            String id = order.path("sack").asText();
+            long attempt = order.path("try").asLong();
+            String key = id + '#' + attempt;
+            Task task = tasks.get(key);
+            switch (order.path("verb").asText()) {
+                case "start" -> {
+                    if (task == null) {
+                        start(key, new Task(id, attempt));
+                    }
+                }
+                case "halt" -> {
+                    if (task != null && !task.phase.equals("ended")) {
+                        end(task, "stopped");
+                    }
+                }
+                default -> {
+                    if (task != null && task.phase.equals("ended")) {
+                        tasks.remove(key);
+                    }
+                }
+            }
+        }
+    }
+
+    private void start(String key, Task task) {
+        boolean busy = tasks.values().stream().anyMatch(t -> t.id.equals(task.id) && !t.phase.equals("ended"));
+        tasks.put(key, task);
+        if (busy) {
+            end(task, "busy");
+            return;
+        }
+        world.clock().after(World.FETCH_S, () -> {
+            if (tasks.get(key) != task || !task.phase.equals("pulling") || gone) {
+                return;
+            }
+            task.phase = "running";
+            world.started(this, task.id);
+            report();
+            double runS = failing ? 0.1 : world.runTime(task.id);
+            if (runS < Double.POSITIVE_INFINITY) {
+                world.clock().after(runS, () -> finish(key, task));
+            }
+        });
+    }
+
+    private void finish(String key, Task task) {
+        if (tasks.get(key) == task && task.phase.equals("running") && !gone) {
+            end(task, failing ? "error" : "done");
+            if (!failing) {
+                world.done(task.id);
+            }
+            report();
+        }
+    }
+
+    private static void end(Task task, String cause) {
+        task.phase = "ended";
+        task.cause = cause;
+    }
+
+    List<Task> tasks() {
+        return List.copyOf(tasks.values());
+    }
+}
--- /dev/null
+++ b/src/test/java/org/springmill/sim/VirtualClock.java
@@ -0,0 +1,40 @@
+package org.springmill.sim;
+
+import java.util.Comparator;
+import java.util.PriorityQueue;
+import org.springmill.transport.Loop;
+
+/** Time that passes only when a test lets it; tasks due at the same instant run in the order they were set. */
+public final class VirtualClock implements Loop {
+    private record Task(double at, long order, Runnable run, boolean[] cancelled) {
+    }
+
+    private final PriorityQueue<Task> tasks =
+            new PriorityQueue<>(Comparator.comparingDouble(Task::at).thenComparingLong(Task::order));
+    private double now = 1000;
+    private long order;
+
+    @Override
+    public double now() {
+        return now;
+    }
+
+    @Override
+    public Timer after(double seconds, Runnable run) {
+        boolean[] cancelled = new boolean[1];
+        tasks.add(new Task(now + Math.max(0, seconds), order++, run, cancelled));
+        return () -> cancelled[0] = true;
+    }
+
+    public void run(double seconds) {
+        double until = now + seconds;
+        while (!tasks.isEmpty() && tasks.peek().at() <= until) {
+            Task task = tasks.poll();
+            now = Math.max(now, task.at());
+            if (!task.cancelled()[0]) {
+                task.run().run();
+            }
+        }
+        now = until;
+    }
+}
--- /dev/null
+++ b/src/test/java/org/springmill/sim/World.java
@@ -0,0 +1,326 @@
+package org.springmill.sim;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.ObjectMapper;
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import java.util.SplittableRandom;
+import java.util.function.Consumer;
+import org.springmill.control.coordination.Controller;
+import org.springmill.protocol.Settings;
+import org.springmill.transport.HttpClient;
+import org.springmill.transport.HttpClient.Reply;
+import org.springmill.transport.HttpClient.Request;
+import org.springmill.transport.HttpHandler;
+import org.springmill.transport.Loop;
+import org.springmill.transport.PeerLink;
+
+/** Controllers with everything around them under one virtual clock. Breaks of the rules are noted as they happen. */
+public final class World {
+    static final int NODES = 3;
+    static final double REPORT_S = 2;
+    static final double LEASE_S = 14;
+    static final double CANCEL_S = 44;
+    static final double FETCH_S = 1;
+    private static final ObjectMapper JSON = new ObjectMapper();
+
+    private final VirtualClock clock = new VirtualClock();
+    private final SimState state = new SimState(clock, 8192, 12);
+    private final SimCloud cloud = new SimCloud(this);
+    private final SimNetwork network = new SimNetwork(this);
+    private final Node[] nodes = new Node[NODES];
+    private final Map<String, JsonNode> jobs = new HashMap<>();
+    private final Map<String, Double> runTimes = new HashMap<>();
+    private final Map<String, Double> cancelledAt = new HashMap<>();
+    private final Map<String, Integer> starts = new HashMap<>();
+    private final Set<String> doneTasks = new HashSet<>();
+    private final Set<String> cutPeers = new HashSet<>();
+    private final List<String> broken = new ArrayList<>();
+    private int incarnations;
+
+    /** One controller's process. */
+    private final class Node implements Loop, HttpClient, PeerLink {
+        private final int index;
+        private final Controller controller;
+        private Listener listener = record -> { };
+        private boolean dead;
+
+        Node(int index) {
+            this.index = index;
+            controller = new Controller(settings(index), this, this, this, new SplittableRandom(++incarnations));
+            controller.start();
+        }
+
+        @Override
+        public double now() {
+            return clock.now();
+        }
+
+        @Override
+        public Timer after(double seconds, Runnable task) {
+            return clock.after(seconds, () -> {
+                if (!dead) {
+                    task.run();
+                }
+            });
+        }
+
+        @Override
+        public void send(Request request, Consumer<Reply> done) {
+            network.send("n-" + index, request, reply -> {
+                if (!dead) {
+                    done.accept(reply);
+                }
+            });
+        }
+
+        @Override
+        public void send(String node, byte[] record) {
+            if (cutPeers.contains("n-" + index) || cutPeers.contains(node)) {
+                return;
+            }
+            clock.after(0.002, () -> {
+                Node to = nodes[Integer.parseInt(node.substring(2))];
+                if (to != null) {
+                    to.listener.received(record);
+                }
+            });
+        }
+
+        @Override
+        public void onRecord(Listener taker) {
+            listener = taker;
+        }
+    }
+
+    public World() {
+        state.tick();
+        for (int i = 0; i < NODES; i++) {
+            nodes[i] = new Node(i);
+        }
+        watchRules();
+    }
+
+    static Settings settings(int index) {
+        Map<String, String> peers = new HashMap<>();
+        for (int i = 0; i < NODES; i++) {
+            if (i != index) {
+                peers.put("n-" + i, "10.0.0." + i + ":8081");
+            }
+        }
+        return new Settings("n-" + index, "a", "10.0.0." + index + ":8080", "10.0.0." + index + ":8081", peers,
+                "cloud:1", "state:1", List.of("a", "b"), 1, List.of(new Settings.Team("red", 0, 0, 8, 16),
+                new Settings.Team("blue", 0, 0, 8, 64)), List.of(), new Settings.Workers(REPORT_S, LEASE_S, CANCEL_S),
+                new Settings.State(120, 20, 8192, 12), new Settings.Cloud(4, 3), new Settings.Limits(0.2, 176, 700));
+    }
+
+    public VirtualClock clock() {
+        return clock;
+    }
+
+    public SimState state() {
+        return state;
+    }
+
+    public SimCloud cloud() {
+        return cloud;
+    }
+
+    public SimNetwork network() {
+        return network;
+    }
+
+    String apiOf(int node) {
+        return "10.0.0." + node + ":8080";
+    }
+
+    /** Adds machines that are up after a moment. */
+    public World machines(String type, String zone, int count) {
+        for (int i = 0; i < count; i++) {
+            cloud.add(type, zone, false, 0.5);
+        }
+        return this;
+    }
+
+    public World run(double seconds) {
+        clock.run(seconds);
+        return this;
+    }
+
+    public void kill(int node) {
+        if (nodes[node] != null) {
+            nodes[node].dead = true;
+            nodes[node] = null;
+        }
+    }
+
+    public void restart(int node) {
+        kill(node);
+        nodes[node] = new Node(node);
+    }
+
+    public void cutPeers(int node, boolean cut) {
+        if (cut) {
+            cutPeers.add("n-" + node);
+        } else {
+            cutPeers.remove("n-" + node);
+        }
+    }
+
+    /** The node whose leadership is on record, or -1. */
+    public int leader() {
+        JsonNode record = state.value("leader");
+        return record == null ? -1 : Integer.parseInt(record.path("node").asText().substring(2));
+    }
+
+    void route(Request request, Consumer<Reply> done) {
+        if (request.address().equals("state:1")) {
+            state.handle(request, done);
+        } else if (request.address().equals("cloud:1")) {
+            done.accept(cloud.handle(request));
+        } else if (request.address().startsWith("10.0.0.")) {
+            Node node = nodes[request.address().charAt(7) - '0'];
+            if (node == null) {
+                done.accept(Reply.NOT_SENT);
+            } else {
+                node.controller.handle(new SimCall(request, done));
+            }
+        } else {
+            for (SimWorker worker : cloud.machines().values()) {
+                if (worker.address().equals(request.address()) && worker.reachable()) {
+                    done.accept(worker.orders(request.body()));
+                }
+            }
+        }
+    }
+
+    private record SimCall(Request request, Consumer<Reply> done) implements HttpHandler.Call {
+        @Override
+        public String method() {
+            return request.method();
+        }
+
+        @Override
+        public String path() {
+            return request.path();
+        }
+
+        @Override
+        public byte[] body() {
+            return request.body();
+        }
+
+        @Override
+        public void reply(int status, byte[] body, int retryAfterS) {
+            done.accept(new Reply(status, body));
+        }
+    }
+
+    /** Asks a controller as a user would, and waits for the answer. */
+    public Reply ask(int node, String method, String path, String body) {
+        Reply[] answer = {Reply.LOST};
+        network.send("user", new Request(apiOf(node), method, path, body.getBytes(java.nio.charset.StandardCharsets.UTF_8), 5),
+                reply -> answer[0] = reply);
+        for (int i = 0; i < 500 && answer[0] == Reply.LOST; i++) {
+            clock.run(0.01);
+        }
+        return answer[0];
+    }
+
+    public int submit(int node, ObjectNode job, double runS) {
+        jobs.put(job.path("nameId").asText(), job);
+        runTimes.put(job.path("nameId").asText(), runS);
+        return ask(node, "POST", "/submissions", job.toString()).status();
+    }
+
+    public String phase(int node, String id) {
+        Reply reply = ask(node, "GET", "/submissions/" + id, "");
+        return reply.ok() ? SimState.parse(reply.body()).path("phase").asText() : Integer.toString(reply.status());
+    }
+
+    public String withdraw(int node, String id) {
+        Reply reply = ask(node, "POST", "/submissions/" + id + "/withdraw", "");
+        String phase = reply.ok() ? SimState.parse(reply.body()).path("phase").asText() : Integer.toString(reply.status());
+        if (phase.equals("cancelled")) {
+            cancelledAt.putIfAbsent(id, clock.now());
+        }
+        return phase;
+    }
+
+    public static ObjectNode job(String id, String team, String shape, int tasks, double cpus, double gpus) {
+        return JSON.createObjectNode().put("nameId", id).put("grist", "c").put("crew", team).put("shape", shape)
+                .put("urgency", "normal").put("sacks", tasks).put("vcpus", cpus).put("cards", gpus).put("memGb", 1.0)
+                .put("mould", "img-1").put("pullGb", 1.0).put("samePlace", false).put("apart", false)
+                .put("loaner", false).put("expectS", 10.0).put("stashEveryS", 0.0).put("stashS", 0.0);
+    }
+
+    double runTime(String task) {
+        String job = task.substring(0, task.indexOf('/'));
+        return runTimes.getOrDefault(job, Double.POSITIVE_INFINITY);
+    }
+
+    /** Notes a start, and whether it breaks a rule. */
+    void started(SimWorker on, String task) {
+        starts.merge(task, 1, Integer::sum);
+        for (SimWorker other : cloud.machines().values()) {
+            if (other != on && other.runs(task)) {
+                broken.add("ran_twice " + task + " on " + other.name() + " and " + on.name());
+            }
+        }
+        JsonNode job = jobs.get(task.substring(0, task.indexOf('/')));
+        if (job.path("apart").asBoolean()) {
+            long here = cloud.machines().values().stream().filter(m -> m.zone().equals(on.zone()))
+                    .flatMap(m -> m.tasks().stream()).filter(t -> t.onMachine() && t.id.startsWith(job.path("nameId").asText() + "/"))
+                    .count();
+            if (here > (job.path("sacks").asInt() + 1) / 2) {
+                broken.add("wrong_place " + task);
+            }
+        }
+    }
+
+    void done(String task) {
+        doneTasks.add(task);
+    }
+
+    private void watchRules() {
+        double gpus = 0;
+        for (SimWorker worker : cloud.machines().values()) {
+            for (SimWorker.Task task : worker.tasks()) {
+                String id = task.id.substring(0, task.id.indexOf('/'));
+                JsonNode job = jobs.get(id);
+                if (task.onMachine()) {
+                    gpus += job.path("crew").asText().equals("red") ? job.path("cards").asDouble() : 0;
+                    if (clock.now() > cancelledAt.getOrDefault(id, Double.POSITIVE_INFINITY) + CANCEL_S) {
+                        broken.add("ran_cancelled " + task.id);
+                    }
+                }
+            }
+        }
+        if (gpus > 16 + 1e-6) {
+            broken.add("quota red " + gpus);
+        }
+        clock.after(0.25, this::watchRules);
+    }
+
+    public List<String> broken() {
+        return broken;
+    }
+
+    public int starts(String task) {
+        return starts.getOrDefault(task, 0);
+    }
+
+    public int running(String job) {
+        return (int) cloud.machines().values().stream().flatMap(m -> m.tasks().stream())
+                .filter(t -> t.onMachine() && t.id.startsWith(job + "/")).count();
+    }
+
+    public SimWorker holder(String task) {
+        return cloud.machines().values().stream().filter(m -> m.runs(task)).findFirst().orElse(null);
+    }
+}
