--- a/src/main/java/org/springmill/control/coordination/Catalog.java
+++ b/src/main/java/org/springmill/control/coordination/Catalog.java
@@ -71,7 +71,7 @@
         if (team == null) {
             return "unknown team " + job.team();
         }
-        int together = job.service() ? job.tasks() : 1;
+        int together = job.service() || job.gang() ? job.tasks() : 1;
         if (!team.withinLimit(job.cpus() * together, job.gpus() * together)) {
             return "needs more than the limit of team " + job.team();
         }
--- a/src/main/java/org/springmill/control/coordination/Fleet.java
+++ b/src/main/java/org/springmill/control/coordination/Fleet.java
@@ -70,8 +70,13 @@
 
     /** Notes that an attempt is known to be over; the next round commits it. */
     void end(Attempt attempt, Cause cause) {
-        if (attempt.end(cause, now())) {
-            ledger.noteEnded(attempt);
+        if (!attempt.end(cause, now())) {
+            return;
+        }
+        ledger.noteEnded(attempt);
+        if (attempt.job().spec().gang() && cause != Cause.DONE) {
+            // A gang without one of its members gets nowhere: the others stop too, and all are claimed anew together.
+            attempt.job().attempts().forEach(other -> stop(other, other.job().spec().saveS() * 2));
         }
     }
 
--- a/src/main/java/org/springmill/control/coordination/Job.java
+++ b/src/main/java/org/springmill/control/coordination/Job.java
@@ -1,8 +1,10 @@
 package org.springmill.control.coordination;
 
 import java.util.ArrayDeque;
+import java.util.ArrayList;
 import java.util.BitSet;
 import java.util.HashSet;
+import java.util.List;
 import java.util.Set;
 import org.agrona.collections.Int2ObjectHashMap;
 import org.springmill.protocol.Submission;
@@ -65,8 +67,8 @@
         return !phase.terminal();
     }
 
-    Iterable<Attempt> attempts() {
-        return live.values();
+    List<Attempt> attempts() {
+        return new ArrayList<>(live.values());
     }
 
     int liveCount() {
--- a/src/main/java/org/springmill/control/coordination/Leader.java
+++ b/src/main/java/org/springmill/control/coordination/Leader.java
@@ -135,7 +135,6 @@
             attempt.exposed(machine.token() - 1, 0);
             ledger.add(attempt);
             attempt.transition(Attempt.State.UNKNOWN, now);
-            ledger.claimed(attempt);
             if (!job.active()) {
                 fleet.stop(attempt, 0);
             }
@@ -223,7 +222,7 @@
         }
         if (!record.active() && job.active()) {
             job.end(record.phase(), record.version(), loop.now());
-            for (Attempt attempt : new ArrayList<>(iterate(job))) {
+            for (Attempt attempt : job.attempts()) {
                 fleet.stop(attempt, 0);
                 orders.poke(attempt.machine());
             }
@@ -232,12 +231,6 @@
         }
     }
 
-    private static List<Attempt> iterate(Job job) {
-        List<Attempt> attempts = new ArrayList<>();
-        job.attempts().forEach(attempts::add);
-        return attempts;
-    }
-
     private void dropIfOver(Job job) {
         if (!job.active() && job.liveCount() == 0) {
             ledger.dropJob(job);
--- a/src/main/java/org/springmill/control/coordination/Ledger.java
+++ b/src/main/java/org/springmill/control/coordination/Ledger.java
@@ -16,7 +16,6 @@
     private final Map<String, Job> jobs = new LinkedHashMap<>();
     private final Map<String, Usage> teams = new HashMap<>();
     private final Set<Attempt> ended = new LinkedHashSet<>();
-    private final Set<Attempt> claiming = new LinkedHashSet<>();
 
     /** What a team's attempts take. */
     static final class Usage {
@@ -94,15 +93,11 @@
         attempt.job().add(attempt);
         attempt.machine().add(attempt);
         charge(attempt, 1);
-        if (attempt.state() == Attempt.State.CLAIMING) {
-            claiming.add(attempt);
-        }
     }
 
-    /** Takes an attempt out once its end is committed. */
+    /** Takes an attempt out: its end is committed, or its claim never was to be. */
     void remove(Attempt attempt, double now) {
         ended.remove(attempt);
-        claiming.remove(attempt);
         attempt.job().remove(attempt);
         attempt.machine().remove(attempt, now);
         charge(attempt, -1);
@@ -137,8 +132,4 @@
     boolean hasEnded() {
         return !ended.isEmpty();
     }
-
-    void claimed(Attempt attempt) {
-        claiming.remove(attempt);
-    }
 }
--- a/src/main/java/org/springmill/control/coordination/Placement.java
+++ b/src/main/java/org/springmill/control/coordination/Placement.java
@@ -49,28 +49,52 @@
             if (now < job.notBefore()) {
                 continue;
             }
-            while (placed.size() < most) {
-                int task = job.nextTask();
-                if (task < 0 || !usage(job).allows(job.spec())) {
-                    break;
-                }
-                Machine machine = choose(job);
-                if (machine == null) {
+            if (job.spec().gang()) {
+                placeGang(job, round, most, placed);
+                continue;
+            }
+            while (placed.size() < most && job.nextTask() >= 0 && usage(job).allows(job.spec())) {
+                if (!placeNext(job, round, placed)) {
                     if (job.spec().service()) {
                         usage(job).hold(job.spec(), job.waiting());
                     }
                     break;
                 }
-                Claim claim = Claim.decide(new TaskId(job.id(), task), machine.name(), round);
-                Attempt attempt = new Attempt(claim, job, machine, now);
-                fleet.ledger().add(attempt);
-                machine.usesImage(job.spec(), now);
-                placed.add(attempt);
             }
         }
         return placed;
     }
 
+    private boolean placeNext(Job job, long round, List<Attempt> placed) {
+        Machine machine = choose(job);
+        if (machine == null) {
+            return false;
+        }
+        Claim claim = Claim.decide(new TaskId(job.id(), job.nextTask()), machine.name(), round);
+        Attempt attempt = new Attempt(claim, job, machine, fleet.now());
+        fleet.ledger().add(attempt);
+        machine.usesImage(job.spec(), fleet.now());
+        placed.add(attempt);
+        return true;
+    }
+
+    /** A gang is claimed in one round, and only when all of its members find a place. */
+    private void placeGang(Job job, long round, int most, List<Attempt> placed) {
+        if (job.liveCount() > 0 || !placed.isEmpty() && job.waiting() > most - placed.size()) {
+            return;
+        }
+        List<Attempt> members = new ArrayList<>();
+        boolean all = true;
+        while (all && job.nextTask() >= 0) {
+            all = usage(job).allows(job.spec()) && placeNext(job, round, members);
+        }
+        if (all) {
+            placed.addAll(members);
+        } else {
+            members.forEach(attempt -> fleet.ledger().remove(attempt, fleet.now()));
+        }
+    }
+
     private boolean eligible(Job job, Machine machine, double now) {
         return machine.takesWork(now, timing.quietS()) && machine.suits(job.spec())
                 && !job.hasFailedOn(machine.name()) && job.zoneAllows(machine.zone());
--- a/src/main/java/org/springmill/control/coordination/Rounds.java
+++ b/src/main/java/org/springmill/control/coordination/Rounds.java
@@ -94,7 +94,6 @@
             fleet.ledger().remove(attempt, now);
         }
         for (Attempt attempt : claimed) {
-            fleet.ledger().claimed(attempt);
             attempt.transition(Attempt.State.CLAIMED, now);
             boolean machineThere = attempt.machine().state() == Machine.State.UP && !attempt.machine().noticed();
             if (!attempt.job().active() || !machineThere) {
--- a/src/main/java/org/springmill/protocol/Priority.java
+++ b/src/main/java/org/springmill/protocol/Priority.java
@@ -19,6 +19,10 @@
         throw new BadMessageException("urgency is not one of prod, urgent, normal, best_effort");
     }
 
+    String wire() {
+        return wire;
+    }
+
     public boolean above(Priority other) {
         return ordinal() < other.ordinal();
     }
--- a/src/main/java/org/springmill/protocol/Submission.java
+++ b/src/main/java/org/springmill/protocol/Submission.java
@@ -14,7 +14,7 @@
  * @param zone the only allowed zone; null for any
  * @param deadlineS null if the job has none
  */
-public record Submission(String id, String jobClass, String team, boolean service, Priority priority, int tasks,
+public record Submission(String id, String jobClass, String team, Shape shape, Priority priority, int tasks,
         double cpus, double gpus, double memoryGb, String image, double imageGb, List<String> types, String zone,
         boolean oneZone, boolean spread, boolean spot, double estimateS, double checkpointS, double saveS,
         Double deadlineS) {
@@ -32,16 +32,12 @@
         if (!validId(id)) {
             throw new BadMessageException("nameId has not the form run-000412");
         }
-        String shape = text(json, "shape");
-        if (!shape.equals("service") && !shape.equals("sweep")) {
-            throw new BadMessageException("shape is neither service nor sweep");
-        }
         JsonNode count = json.path("sacks");
         if (!count.isIntegralNumber() || !count.canConvertToInt() || count.intValue() < 1 || count.intValue() > MAX_TASKS) {
             throw new BadMessageException("sacks is not a whole number from 1 to " + MAX_TASKS);
         }
-        return new Submission(id, text(json, "grist"), text(json, "crew"), shape.equals("service"),
-                Priority.of(text(json, "urgency")), count.intValue(), amount(json, "vcpus"), amount(json, "cards"),
+        return new Submission(id, text(json, "grist"), text(json, "crew"),
+                Shape.of(text(json, "shape")), Priority.of(text(json, "urgency")), count.intValue(), amount(json, "vcpus"), amount(json, "cards"),
                 amount(json, "memGb"), text(json, "mould"), amount(json, "pullGb"), types(json.path("frames")),
                 isAbsent(json.path("yard")) ? null : text(json, "yard"), flag(json, "samePlace"), flag(json, "apart"),
                 flag(json, "loaner"), amount(json, "expectS"), amount(json, "stashEveryS"), amount(json, "stashS"),
@@ -51,8 +47,8 @@
     /** The same form that {@link #parse} takes; also how a job is kept in the state service. */
     public ObjectNode toJson() {
         ObjectNode json = Json.newObject();
-        json.put("nameId", id).put("grist", jobClass).put("crew", team).put("shape", service ? "service" : "sweep")
-                .put("urgency", priorityName()).put("sacks", tasks).put("vcpus", cpus).put("cards", gpus)
+        json.put("nameId", id).put("grist", jobClass).put("crew", team).put("shape", shape.wire())
+                .put("urgency", priority.wire()).put("sacks", tasks).put("vcpus", cpus).put("cards", gpus)
                 .put("memGb", memoryGb).put("mould", image).put("pullGb", imageGb).put("samePlace", oneZone)
                 .put("apart", spread).put("loaner", spot).put("expectS", estimateS).put("stashEveryS", checkpointS)
                 .put("stashS", saveS);
@@ -69,13 +65,14 @@
         return json;
     }
 
-    private String priorityName() {
-        return switch (priority) {
-            case PRODUCTION -> "prod";
-            case HIGH -> "urgent";
-            case NORMAL -> "normal";
-            case LOW -> "best_effort";
-        };
+    /** Whether the tasks are replicas that run until the job is cancelled. */
+    public boolean service() {
+        return shape == Shape.SERVICE;
+    }
+
+    /** Whether the tasks run only all together. */
+    public boolean gang() {
+        return shape == Shape.GANG;
     }
 
     /** How many tasks of the job one zone may hold. */
--- a/src/test/java/org/springmill/control/coordination/FailureTest.java
+++ b/src/test/java/org/springmill/control/coordination/FailureTest.java
@@ -394,6 +394,26 @@
         }
     }
 
+    @Test
+    void aGangStartsOnlyWholeAndAnew() {
+        world.cloud().runOut();
+        world.submit(0, World.job("run-000002", "blue", "service", 3, 1, 8), Double.POSITIVE_INFINITY);
+        world.submit(0, World.job(JOB, "blue", "group", 4, 1, 4), 20);
+        world.run(10);
+        assertEquals(0, world.running(JOB), "there is room for two of four");
+        world.withdraw(0, "run-000002");
+        world.run(8);
+        assertEquals(4, world.running(JOB));
+        world.holder(TASK).notice(30);
+        world.run(12);
+        assertEquals(4, world.running(JOB));
+        for (int i = 0; i < 4; i++) {
+            assertEquals(2, world.starts(JOB + "/" + i), "task " + i);
+        }
+        world.run(30);
+        assertEquals("done", world.phase(0, JOB));
+    }
+
     @Test
     void aNoticedMachineIsLeftInTime() {
         world.submit(0, World.job(JOB, "red", "service", 1, 1, 1), Double.POSITIVE_INFINITY);
