--- a/src/main/java/org/springmill/control/coordination/Controller.java
+++ b/src/main/java/org/springmill/control/coordination/Controller.java
@@ -38,6 +38,7 @@
     private final UserApi users;
     private final Metrics metrics;
     private Map<String, JobProgress> progress = new HashMap<>();
+    private final Map<String, Double> strayWorkers = new HashMap<>();
     private double progressAt;
     private Leader leader;
 
@@ -126,7 +127,10 @@
     }
 
     private Status status() {
-        return new Status(settings.node(), 0, 0, store.reachable(), leadership.mayAnswer(), leadership.knownTerm());
+        double since = loop.now() - 2 * timing.quietS();
+        strayWorkers.values().removeIf(at -> at < since);
+        return new Status(settings.node(), 0, 0, store.reachable(), leadership.mayAnswer(), leadership.informed(),
+                strayWorkers.size(), leadership.knownTerm());
     }
 
     private void report(Call call) {
@@ -141,9 +145,10 @@
             leader.report(call, report);
             return;
         }
+        strayWorkers.put(report.machine(), loop.now());
         String leads = leadership.leader();
         if (leader == null && !store.reachable() && peers.allConfirmOutage(leadership.knownTerm())
-                && peers.leadingPeer() == null) {
+                && !peers.someLead()) {
             // Nobody can lead now, since nobody reaches the state service: keep the worker's lease, order nothing.
             call.reply(200, WorkerMessages.reportAnswer(report.token(), java.util.List.of()), 0);
         } else if (leads != null && !leads.equals(settings.node())) {
--- a/src/main/java/org/springmill/control/coordination/Leader.java
+++ b/src/main/java/org/springmill/control/coordination/Leader.java
@@ -174,6 +174,10 @@
         if (closed || !leadership.mayAnswer()) {
             return;
         }
+        resignIfCutOff();
+        if (closed) {
+            return;
+        }
         settling.tick();
         for (Machine machine : fleet.machinesNow()) {
             orders.poke(machine);
@@ -188,6 +192,25 @@
         }
     }
 
+    /**
+     * A leader that no longer hears many of its workers, while another controller does, is the one that is cut off:
+     * their leases would run out under it although the state service sees nothing wrong with it.
+     */
+    private void resignIfCutOff() {
+        double now = loop.now();
+        int up = 0;
+        int silent = 0;
+        for (Machine machine : fleet.machines()) {
+            if (machine.state() == Machine.State.UP) {
+                up++;
+                silent += now - machine.lastHeard() > timing.quietS() ? 1 : 0;
+            }
+        }
+        if (silent >= Math.max(2, up / 4) && peers.workersElsewhere() >= Math.max(2, silent / 2)) {
+            leadership.resign(silent + " of " + up + " workers report elsewhere");
+        }
+    }
+
     /** A cancelled task that cannot be stopped in time goes with its machine. */
     private void cancelOverdue() {
         for (Job job : ledger.jobs().values()) {
--- a/src/main/java/org/springmill/control/coordination/Leadership.java
+++ b/src/main/java/org/springmill/control/coordination/Leadership.java
@@ -54,6 +54,8 @@
     private String knownLeader;
     private long watchFrom;
     private boolean renewing;
+    private boolean informed;
+    private double notBefore;
 
     Leadership(StateStore store, Loop loop, Settings settings, Timing timing, Peers peers, String incarnation,
             Listener listener) {
@@ -90,6 +92,11 @@
         return holdsTerm() ? settings.node() : knownLeader;
     }
 
+    /** Whether the leader's record was read since this process started. */
+    boolean informed() {
+        return informed;
+    }
+
     Condition condition() {
         return new Condition(KEY, term);
     }
@@ -105,11 +112,12 @@
 
     /**
      * Whether reports may be answered: while the lease holds, for the grace after it, and beyond that only on the
-     * word of all other controllers that nobody can reach the state service.
+     * word of most or all controllers that they cannot reach the state service.
      */
     boolean mayAnswer() {
         check();
-        return holdsTerm() && (loop.now() < validUntil + timing.graceS() || peers.allConfirmOutage(term));
+        return holdsTerm() && (loop.now() < validUntil + timing.graceS() || peers.mostConfirmOutage(term)
+                || peers.allConfirmOutage(term));
     }
 
     /** A message showed a token of a later term: someone else leads. */
@@ -123,6 +131,7 @@
     /** Gives the leadership up so that another controller can take it. */
     void resign(String why) {
         long given = lease;
+        notBefore = loop.now() + 2 * timing.leaderTtlS();
         deposed(why);
         if (given != 0) {
             store.revoke(given, () -> { });
@@ -204,9 +213,13 @@
         if (!read.served() || state != State.FOLLOWING) {
             return;
         }
+        informed = true;
         if (read.entry() == null) {
             knownLeader = null;
-            campaign();
+            // Having just given the leadership up, this controller stands again only if nobody else does.
+            if (loop.now() >= notBefore) {
+                campaign();
+            }
         } else {
             recorded(read.entry());
         }
--- a/src/main/java/org/springmill/control/coordination/Peers.java
+++ b/src/main/java/org/springmill/control/coordination/Peers.java
@@ -29,9 +29,10 @@
     private Consumer<Progress> onProgress = p -> { };
     private double lastConfirmed = Double.NEGATIVE_INFINITY;
     private long question;
+    private long highestTerm;
 
     /** A peer's latest answer. */
-    private record Word(double askedAt, boolean stateReachable, boolean leading, long term) {
+    private record Word(double askedAt, Status status) {
     }
 
     /** @param self gives what this controller says of itself; its numbers are filled in here */
@@ -41,18 +42,23 @@
         this.settings = settings;
         this.timing = timing;
         this.self = self;
-        link.onRecord(this::received);
     }
 
+    /** Takes records only from here on: one that came while the controller was still being put together broke it. */
     void start() {
+        link.onRecord(this::received);
+        ask();
+    }
+
+    private void ask() {
         question++;
         asked.put(question, loop.now());
         asked.values().removeIf(at -> at < loop.now() - timing.confirmS());
         Status status = self.get();
         for (String node : settings.peers().keySet()) {
-            send(node, new Status(settings.node(), question, 0, status.stateReachable(), status.leading(), status.term()));
+            send(node, numbered(status, question, 0));
         }
-        loop.after(timing.pingS(), this::start);
+        loop.after(timing.pingS(), this::ask);
     }
 
     void onProgress(Consumer<Progress> taker) {
@@ -71,12 +77,13 @@
         try {
             PeerRecord message = PeerMessages.decode(bytes);
             if (message instanceof Status status && settings.peers().containsKey(status.from())) {
+                highestTerm = Math.max(highestTerm, status.term());
                 if (status.echo() == 0) {
                     answer(status);
                 } else {
                     Double at = asked.get(status.echo());
                     if (at != null) {
-                        words.put(status.from(), new Word(at, status.stateReachable(), status.leading(), status.term()));
+                        words.put(status.from(), new Word(at, status));
                     }
                 }
             } else if (message instanceof Progress progress) {
@@ -92,7 +99,13 @@
         if (!status.stateReachable()) {
             lastConfirmed = loop.now();
         }
-        send(to.from(), new Status(settings.node(), 0, to.question(), status.stateReachable(), status.leading(), status.term()));
+        send(to.from(), numbered(status, 0, to.question()));
+    }
+
+    /** What is said never falls behind what was heard: an answer that names a term is a promise to know it from then on. */
+    private Status numbered(Status status, long number, long echo) {
+        return new Status(settings.node(), number, echo, status.stateReachable(), status.leading(), status.informed(),
+                status.workers(), Math.max(highestTerm, status.term()));
     }
 
     private boolean recent(Word word) {
@@ -101,35 +114,49 @@
 
     /** Whether every other controller lately said that it cannot reach the state service and knows no newer leader. */
     boolean allConfirmOutage(long term) {
-        for (String node : settings.peers().keySet()) {
-            Word word = words.get(node);
-            if (!recent(word) || word.stateReachable() || word.term() > term) {
-                return false;
-            }
-        }
-        return true;
+        return settings.peers().keySet().stream().allMatch(node -> confirms(node, term, false));
+    }
+
+    /**
+     * Whether, with this one, most controllers say so. Enough for a leader that is still in office: whoever takes over
+     * waits for most controllers to know of it, and the two majorities share one. A controller that was restarted and
+     * has read nothing since does not count, for it may have forgotten what it promised.
+     */
+    boolean mostConfirmOutage(long term) {
+        return isMost(settings.peers().keySet().stream().filter(node -> confirms(node, term, true)).count());
+    }
+
+    private boolean confirms(String node, long term, boolean hasToBeInformed) {
+        Word word = words.get(node);
+        return recent(word) && !word.status().stateReachable() && word.status().term() <= term
+                && (word.status().informed() || !hasToBeInformed);
+    }
+
+    /** Whether most controllers, with this one, know of a term. */
+    boolean mostKnow(long term) {
+        return isMost(words.values().stream().filter(w -> w.status().term() >= term).count());
+    }
+
+    private boolean isMost(long others) {
+        return 2 * (others + 1) > settings.peers().size() + 1;
     }
 
     boolean someReachState() {
-        return words.values().stream().anyMatch(w -> recent(w) && w.stateReachable());
+        return words.values().stream().anyMatch(w -> recent(w) && w.status().stateReachable());
     }
 
-    /** Whether a peer lately said that it leads; the peer's node, or null. */
-    String leadingPeer() {
-        for (Map.Entry<String, Word> e : words.entrySet()) {
-            if (recent(e.getValue()) && e.getValue().leading()) {
-                return e.getKey();
-            }
-        }
-        return null;
+    /** Whether a peer lately said that it leads. */
+    boolean someLead() {
+        return words.values().stream().anyMatch(w -> recent(w) && w.status().leading());
     }
 
-    boolean heard(String node) {
-        return recent(words.get(node));
+    /** The greatest number of workers that one of the others lately heard, though it does not lead. */
+    int workersElsewhere() {
+        return words.values().stream().filter(this::recent).mapToInt(w -> w.status().workers()).max().orElse(0);
     }
 
     long highestTerm() {
-        return words.values().stream().mapToLong(Word::term).max().orElse(0);
+        return highestTerm;
     }
 
     /** Until when another controller may renew leases on the strength of this one's word. */
--- a/src/main/java/org/springmill/control/coordination/Rentals.java
+++ b/src/main/java/org/springmill/control/coordination/Rentals.java
@@ -179,7 +179,12 @@
             double bootS = machine.type().bootS();
             switch (machine.state()) {
                 case EXPECTED -> {
-                    if (now - machine.firstSeen() > bootS * settings.operator().bootPatience()) {
+                    boolean waited = now - startedAt > timing.othersS() + 2 * timing.leaseS();
+                    if (waited && !machine.attempts().isEmpty()) {
+                        // Its worker never reported to this leader, and with no word from most other controllers its
+                        // silence proves nothing: only its deletion does.
+                        giveBack(machine, "its worker is not heard of");
+                    } else if (now - machine.firstSeen() > bootS * settings.operator().bootPatience()) {
                         giveBack(machine, "it never came up");
                     }
                 }
--- a/src/main/java/org/springmill/control/coordination/Settling.java
+++ b/src/main/java/org/springmill/control/coordination/Settling.java
@@ -24,6 +24,7 @@
     private final Peers peers;
     private final Metrics metrics;
     private final double tookOver;
+    private double acknowledged = Double.POSITIVE_INFINITY;
     private final Runnable changed;
     private final Consumer<String> laterTerm;
 
@@ -150,12 +151,17 @@
         double renewed = Math.max(machine.lastAnswered(), peers.othersMayRenewUntil());
         // Until the worker has seen this term's token it may obey an earlier leader, whose last answer is not known
         // here: a worker that showed the token and then fell silent has its full lease from then on.
-        return Math.max(renewed, Math.min(machine.ownTokenSeen(), tookOver + timing.othersS())) + timing.leaseS();
+        // Without that, an earlier leader may go on as long as most controllers bear it out: until most know this term.
+        double earlier = Math.max(tookOver + timing.othersS(), acknowledged + timing.confirmS() * 1.002);
+        return Math.max(renewed, Math.min(machine.ownTokenSeen(), earlier)) + timing.leaseS();
     }
 
     /** Looks for claims past their window and for machines silent beyond their lease. */
     void tick() {
         double now = fleet.now();
+        if (acknowledged == Double.POSITIVE_INFINITY && peers.mostKnow(fleet.term())) {
+            acknowledged = now;
+        }
         for (Machine machine : fleet.machinesNow()) {
             if (machine.state() == Machine.State.GONE) {
                 continue;
--- a/src/main/java/org/springmill/protocol/PeerMessages.java
+++ b/src/main/java/org/springmill/protocol/PeerMessages.java
@@ -29,10 +29,12 @@
      * @param echo number of the question that is answered; 0 for none
      * @param stateReachable whether the sender's last request to the state service was served
      * @param leading whether it answers workers as the leader
+     * @param informed whether it has read the leader's record since it was started, so that its term means something
+     * @param workers how many workers lately came to it with reports although it does not lead
      * @param term the highest leadership term it knows of
      */
     public record Status(String from, long question, long echo, boolean stateReachable, boolean leading,
-            long term)
+            boolean informed, int workers, long term)
             implements PeerRecord {
     }
 
@@ -57,6 +59,8 @@
                 out.writeLong(s.echo);
                 out.writeBoolean(s.stateReachable);
                 out.writeBoolean(s.leading);
+                out.writeBoolean(s.informed);
+                out.writeInt(s.workers);
                 out.writeLong(s.term);
             } else if (message instanceof Progress p) {
                 out.writeByte(2);
@@ -85,7 +89,7 @@
             int kind = in.readUnsignedByte();
             if (kind == 1) {
                 return new Status(in.readUTF(), in.readLong(), in.readLong(), in.readBoolean(), in.readBoolean(),
-                        in.readLong());
+                        in.readBoolean(), in.readInt(), in.readLong());
             }
             if (kind != 2) {
                 throw new BadMessageException("peer record of kind " + kind);
--- a/src/test/java/org/springmill/control/coordination/FailureTest.java
+++ b/src/test/java/org/springmill/control/coordination/FailureTest.java
@@ -189,6 +189,40 @@
         assertEquals(4, world.running(JOB));
     }
 
+    @Test
+    void aLeaderCutOffFromItsWorkersGivesWayBeforeTheirLeasesEnd() {
+        world.submit(0, World.job(JOB, "red", "service", 4, 1, 1), Double.POSITIVE_INFINITY);
+        world.run(8);
+        int cut = world.leader();
+        world.network().judge((from, request) -> from.startsWith("host-")
+                && request.address().equals("10.0.0." + cut + ":8080") || from.equals("n-" + cut)
+                && request.address().startsWith("10.1.") ? Fate.DROP : Fate.DELIVER);
+        world.run(40);
+        assertNotEquals(cut, world.leader());
+        for (int i = 0; i < 4; i++) {
+            assertEquals(1, world.starts(JOB + "/" + i), "task " + i);
+        }
+    }
+
+    @ParameterizedTest
+    @ValueSource(booleans = {true, false})
+    void anOutageIsSurvivedWithOneControllerCutOffUnlessTheOtherForgot(boolean otherRemembers) {
+        world.submit(0, World.job(JOB, "red", "service", 4, 1, 1), Double.POSITIVE_INFINITY);
+        world.run(8);
+        int leader = world.leader();
+        world.cutPeers((leader + 1) % 3, true);
+        world.state().setDown(true);
+        if (!otherRemembers) {
+            world.restart((leader + 2) % 3);
+        }
+        world.run(25);
+        boolean kept = world.running(JOB) == 4;
+        assertEquals(otherRemembers, kept);
+        world.state().setDown(false);
+        world.run(20);
+        assertEquals(4, world.running(JOB));
+    }
+
     @Test
     void machinesThatObeyACutOffLeaderKeepTheirTasksUntilTheirLeaseIsOver() {
         world.submit(0, World.job(JOB, "red", "service", 2, 1, 1), Double.POSITIVE_INFINITY);
