--- a/src/main/java/org/springmill/control/coordination/Leader.java
+++ b/src/main/java/org/springmill/control/coordination/Leader.java
@@ -180,6 +180,9 @@
         }
         settling.tick();
         for (Machine machine : fleet.machinesNow()) {
+            if (machine.state() == Machine.State.UP && loop.now() - machine.lastHeard() > timing.quietS()) {
+                machine.askAgain = true;
+            }
             orders.poke(machine);
             if (machine.state() == Machine.State.GONE && machine.attempts().isEmpty()) {
                 fleet.forget(machine);
--- a/src/main/java/org/springmill/control/coordination/Rentals.java
+++ b/src/main/java/org/springmill/control/coordination/Rentals.java
@@ -172,6 +172,12 @@
             return;
         }
         double now = loop.now();
+        int up = 0;
+        int silent = 0;
+        for (Machine machine : fleet.machines()) {
+            up += machine.state() == Machine.State.UP ? 1 : 0;
+            silent += machine.state() == Machine.State.UP && now - machine.lastHeard() > timing.quietS() ? 1 : 0;
+        }
         for (Machine machine : fleet.machinesNow()) {
             if (machine.type() == null) {
                 continue;
@@ -194,7 +200,12 @@
                     }
                 }
                 case UP -> {
-                    if (machine.quarantined() && machine.attempts().isEmpty()) {
+                    boolean dead = now - machine.lastHeard() > timing.silentS() && machine.ordersFailing();
+                    if (dead && silent <= Math.max(1, up / 4) && holdsReplicas(machine)) {
+                        // Deletion proves its replicas gone well before its lease could. Not when many are silent at
+                        // once: then it is more likely this controller that is cut off.
+                        giveBack(machine, "it neither reports nor answers");
+                    } else if (machine.quarantined() && machine.attempts().isEmpty()) {
                         giveBack(machine, "it fails what it starts");
                     }
                 }
@@ -205,6 +216,10 @@
         plan(now);
     }
 
+    private static boolean holdsReplicas(Machine machine) {
+        return machine.attempts().stream().anyMatch(a -> a.job().spec().service() && a.job().active());
+    }
+
     private void plan(double now) {
         if (now - startedAt < settings.cloud().listLagS() * 2) {
             // Machines rented just before a change of leader may not be listed yet.
--- a/src/test/java/org/springmill/control/coordination/FailureTest.java
+++ b/src/test/java/org/springmill/control/coordination/FailureTest.java
@@ -189,6 +189,15 @@
         assertEquals(4, world.running(JOB));
     }
 
+    @Test
+    void replicasOfASilentMachineMoveBeforeItsLeaseCouldEnd() {
+        world.submit(0, World.job(JOB, "red", "service", 1, 1, 1), Double.POSITIVE_INFINITY);
+        world.run(8);
+        world.holder(TASK).hang(true);
+        world.run(11);
+        assertEquals(2, world.starts(TASK));
+    }
+
     @Test
     void aLeaderCutOffFromItsWorkersGivesWayBeforeTheirLeasesEnd() {
         world.submit(0, World.job(JOB, "red", "service", 4, 1, 1), Double.POSITIVE_INFINITY);
