--- a/src/main/java/org/springmill/cli/RunCommand.java
+++ b/src/main/java/org/springmill/cli/RunCommand.java
@@ -45,8 +45,16 @@
         Transport transport = new Transport(settings.limits().maxSockets());
         PeerLink link = transport.peers(settings.peerListen(), settings.peers());
         Controller controller = new Controller(settings, transport.loop(), transport.client(), link,
-                new SplittableRandom(System.nanoTime() ^ ProcessHandle.current().pid() << 32 ^ settings.node().hashCode()));
+                new SplittableRandom(seed(settings)));
         transport.loop().after(0, controller::start);
         transport.serve(settings.listen(), controller);
     }
+
+    /**
+     * Differs between the processes of a node, which is all that an incarnation needs. The process's id is not used:
+     * asking for it makes the JVM read files of the system in native code, which has ended processes at their start.
+     */
+    private static long seed(Settings settings) {
+        return System.currentTimeMillis() << 20 ^ System.nanoTime() ^ settings.node().hashCode();
+    }
 }
--- a/src/main/java/org/springmill/control/coordination/Machine.java
+++ b/src/main/java/org/springmill/control/coordination/Machine.java
@@ -50,6 +50,7 @@
     private double ownTokenSeen = Double.POSITIVE_INFINITY;
     private double lastHeard = Double.NEGATIVE_INFINITY;
     private double firstSeen;
+    private double listedAt = Double.NEGATIVE_INFINITY;
     private double idleSince;
     private double noticeAt = Double.POSITIVE_INFINITY;
     private double ordersFailedSince = Double.POSITIVE_INFINITY;
@@ -135,6 +136,14 @@
         return firstSeen;
     }
 
+    void listed(double now) {
+        listedAt = now;
+    }
+
+    double listedAt() {
+        return listedAt;
+    }
+
     double idleSince() {
         return idleSince;
     }
--- a/src/main/java/org/springmill/control/coordination/Rentals.java
+++ b/src/main/java/org/springmill/control/coordination/Rentals.java
@@ -144,6 +144,7 @@
                 continue;
             }
             Machine machine = fleet.machine(listed.name());
+            machine.listed(now);
             if (machine.type() == null || machine.address().isEmpty()) {
                 machine.describe(listed.address(), fleet.catalog().get(listed.type()), listed.zone(), listed.spot());
                 if (first) {
@@ -176,7 +177,7 @@
         int silent = 0;
         for (Machine machine : fleet.machines()) {
             up += machine.state() == Machine.State.UP ? 1 : 0;
-            silent += machine.state() == Machine.State.UP && now - machine.lastHeard() > timing.quietS() ? 1 : 0;
+            silent += quietFor(machine, now) > timing.quietS() && !unlisted(machine) ? 1 : 0;
         }
         for (Machine machine : fleet.machinesNow()) {
             if (machine.type() == null) {
@@ -185,6 +186,10 @@
             double bootS = machine.type().bootS();
             switch (machine.state()) {
                 case EXPECTED -> {
+                    if (asGoodAsDead(machine, now, up, silent)) {
+                        giveBack(machine, "it neither reports nor answers");
+                        continue;
+                    }
                     boolean waited = now - startedAt > timing.othersS() + 2 * timing.leaseS();
                     if (waited && !machine.attempts().isEmpty()) {
                         // Its worker never reported to this leader, and with no word from most other controllers its
@@ -200,10 +205,7 @@
                     }
                 }
                 case UP -> {
-                    boolean dead = now - machine.lastHeard() > timing.silentS() && machine.ordersFailing();
-                    if (dead && silent <= Math.max(1, up / 4) && holdsReplicas(machine)) {
-                        // Deletion proves its replicas gone well before its lease could. Not when many are silent at
-                        // once: then it is more likely this controller that is cut off.
+                    if (asGoodAsDead(machine, now, up, silent)) {
                         giveBack(machine, "it neither reports nor answers");
                     } else if (machine.quarantined() && machine.attempts().isEmpty()) {
                         giveBack(machine, "it fails what it starts");
@@ -216,8 +218,24 @@
         plan(now);
     }
 
-    private static boolean holdsReplicas(Machine machine) {
-        return machine.attempts().stream().anyMatch(a -> a.job().spec().service() && a.job().active());
+    /** How long a machine that should report has not; a new leader gives all of them time to find it. */
+    private double quietFor(Machine machine, double now) {
+        boolean expected = machine.state() == Machine.State.UP
+                || machine.state() == Machine.State.EXPECTED && !machine.attempts().isEmpty();
+        return expected ? now - Math.max(machine.lastHeard(), startedAt + timing.silentS() / 2) : 0;
+    }
+
+    private boolean unlisted(Machine machine) {
+        return machine.listedAt() < listedAt && listedAt - machine.lastHeard() > 2 * settings.cloud().listLagS();
+    }
+
+    /**
+     * Deletion proves that what a silent machine ran is gone, well before its lease could. Not when many listed
+     * machines are silent at once: then it is more likely this controller that is cut off.
+     */
+    private boolean asGoodAsDead(Machine machine, double now, int up, int silent) {
+        return quietFor(machine, now) > timing.silentS() && machine.ordersFailing() && !machine.attempts().isEmpty()
+                && (unlisted(machine) || silent <= Math.max(1, up / 4));
     }
 
     private void plan(double now) {
