Image caches are reckoned by size, and noted for the next leader

Cause: after a failover the new leader knew only the images of running tasks, and a cache of mixed sizes was cut as if all images had the newest one's size, so starts of one second went to machines without the image.

--- a/src/main/java/org/springmill/control/coordination/Fleet.java
+++ b/src/main/java/org/springmill/control/coordination/Fleet.java
@@ -5,6 +5,7 @@
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
+import org.springmill.control.storage.ImageNotes;
 import org.springmill.protocol.WorkerMessages.Cause;
 import org.springmill.protocol.WorkerMessages.Report;
 import org.springmill.transport.Loop;
@@ -16,6 +17,7 @@
     private final Catalog catalog;
     private final Loop loop;
     private final long term;
+    private ImageNotes noted = new ImageNotes();
 
     Fleet(Ledger ledger, Catalog catalog, Loop loop, long term) {
         this.ledger = ledger;
@@ -37,7 +39,11 @@
     }
 
     Machine machine(String name) {
-        return machines.computeIfAbsent(name, n -> new Machine(n, term, loop.now()));
+        return machines.computeIfAbsent(name, n -> {
+            Machine machine = new Machine(n, term, loop.now());
+            noted.of(n).forEach(machine.images()::adopt);
+            return machine;
+        });
     }
 
     Machine machine(Report report) {
@@ -52,6 +58,22 @@
         machines.remove(machine.name());
     }
 
+    /** Takes over what an earlier leader noted of the machines' images. */
+    void adopt(ImageNotes notes) {
+        noted = notes;
+        machines.values().forEach(machine -> notes.of(machine.name()).forEach(machine.images()::adopt));
+    }
+
+    ImageNotes imageNotes() {
+        ImageNotes notes = new ImageNotes();
+        for (Machine machine : machines.values()) {
+            if (machine.state() == Machine.State.UP) {
+                machine.images().all().forEach((image, held) -> notes.add(machine.name(), image, held.gb()));
+            }
+        }
+        return notes;
+    }
+
     long term() {
         return term;
     }
--- a/src/main/java/org/springmill/control/coordination/Leader.java
+++ b/src/main/java/org/springmill/control/coordination/Leader.java
@@ -1,11 +1,13 @@
 package org.springmill.control.coordination;
 
+import com.fasterxml.jackson.databind.JsonNode;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.BitSet;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
 import org.springmill.control.storage.Claim;
+import org.springmill.control.storage.ImageNotes;
 import org.springmill.control.storage.JobRecord;
 import org.springmill.control.storage.RoundLog;
 import org.springmill.control.storage.StateStore;
@@ -43,6 +45,7 @@
     private final Rounds rounds;
     private final Rentals rentals;
     private final Demand demand;
+    private JsonNode lastNotes;
     private boolean rebuilt;
     private boolean closed;
 
@@ -154,6 +157,24 @@
         rounds.request();
         tick();
         broadcast();
+        store.get(ImageNotes.KEY, read -> {
+            if (read.entry() != null) {
+                fleet.adopt(ImageNotes.decode(read.entry().value()));
+            }
+            loop.after(timing.leaseS(), this::noteImages);
+        });
+    }
+
+    private void noteImages() {
+        if (closed) {
+            return;
+        }
+        loop.after(timing.leaseS(), this::noteImages);
+        JsonNode notes = fleet.imageNotes().encode(settings.state().valueBytes());
+        if (leadership.mayPlace() && !notes.equals(lastNotes) && store.backlog() == 0) {
+            lastNotes = notes;
+            store.commit(List.of(leadership.condition()), List.of(Write.put(ImageNotes.KEY, notes)), result -> { });
+        }
     }
 
     /** A job that ended while tasks of it may still be on machines: they count until they are proven gone. */
--- a/src/main/java/org/springmill/control/coordination/Machine.java
+++ b/src/main/java/org/springmill/control/coordination/Machine.java
@@ -2,7 +2,6 @@
 
 import java.util.ArrayList;
 import java.util.Collection;
-import java.util.HashMap;
 import java.util.HashSet;
 import java.util.LinkedHashMap;
 import java.util.List;
@@ -34,7 +33,7 @@
 
     private final String name;
     private final Map<String, Attempt> attempts = new LinkedHashMap<>();
-    private final Map<String, Double> images = new HashMap<>();
+    private final ImageCache images = new ImageCache();
     private final Set<String> errorJobs = new HashSet<>();
     private State state = State.EXPECTED;
     private String address = "";
@@ -344,17 +343,14 @@
 
     /** Notes that an image is being fetched here, or used; the least recently used ones fall out of the cache. */
     void usesImage(Submission spec, double now) {
-        images.put(spec.image(), now);
-        while (images.size() * spec.imageGb() > Math.max(type == null ? 0 : type.cacheGb(), spec.imageGb())) {
-            images.entrySet().stream().min(Map.Entry.comparingByValue()).ifPresent(e -> images.remove(e.getKey()));
-        }
+        images.use(spec.image(), spec.imageGb(), type == null ? 0 : type.cacheGb(), now);
     }
 
     boolean holdsImage(String image) {
-        return images.containsKey(image);
+        return images.holds(image);
     }
 
-    void forgetImages() {
-        images.clear();
+    ImageCache images() {
+        return images;
     }
 }
--- a/src/main/java/org/springmill/control/coordination/Settling.java
+++ b/src/main/java/org/springmill/control/coordination/Settling.java
@@ -181,7 +181,7 @@
             if (expired && machine.state() == Machine.State.UP) {
                 LOG.warn("machine {} was silent for a whole lease", machine.name());
                 machine.transition(Machine.State.LOST);
-                machine.forgetImages();
+                machine.images().clear();
                 changed.run();
             }
         }
--- /dev/null
+++ b/src/main/java/org/springmill/control/storage/ImageNotes.java
@@ -0,0 +1,74 @@
+package org.springmill.control.storage;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.node.ArrayNode;
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import org.springmill.protocol.Json;
+
+/**
+ * Which machines hold which images, noted now and then for the next leader under {@code images}. Nothing but start
+ * times depends on it, so it may be old, cut short or missing.
+ */
+public final class ImageNotes {
+    public static final String KEY = "images";
+
+    private final Map<String, Map<String, Double>> byMachine = new LinkedHashMap<>();
+
+    public void add(String machine, String image, double gb) {
+        byMachine.computeIfAbsent(machine, m -> new HashMap<>()).put(image, gb);
+    }
+
+    /** The images of a machine with their sizes. */
+    public Map<String, Double> of(String machine) {
+        return byMachine.getOrDefault(machine, Map.of());
+    }
+
+    /** Machines are listed once and then named by their place in the list; what does not fit a value is left out. */
+    public JsonNode encode(int valueBytes) {
+        ObjectNode json = Json.newObject().put("v", 1);
+        ArrayNode machines = json.putArray("machines");
+        ObjectNode images = json.putObject("images");
+        int room = valueBytes - 64;
+        int index = 0;
+        for (Map.Entry<String, Map<String, Double>> e : byMachine.entrySet()) {
+            int cost = e.getKey().length() + 3;
+            for (String image : e.getValue().keySet()) {
+                cost += images.has(image) ? 5 : image.length() + 25;
+            }
+            room -= cost;
+            if (room < 0) {
+                break;
+            }
+            machines.add(e.getKey());
+            int at = index++;
+            e.getValue().forEach((image, gb) -> {
+                ArrayNode holders = images.withArray(image);
+                if (holders.isEmpty()) {
+                    holders.add(gb);
+                }
+                holders.add(at);
+            });
+        }
+        return json;
+    }
+
+    public static ImageNotes decode(JsonNode value) {
+        ImageNotes notes = new ImageNotes();
+        List<String> machines = new ArrayList<>();
+        value.path("machines").forEach(m -> machines.add(m.asText()));
+        value.path("images").fields().forEachRemaining(e -> {
+            for (int i = 1; i < e.getValue().size(); i++) {
+                int at = e.getValue().get(i).asInt();
+                if (at < machines.size()) {
+                    notes.add(machines.get(at), e.getKey(), e.getValue().get(0).asDouble());
+                }
+            }
+        });
+        return notes;
+    }
+}
