--- a/src/main/java/org/springmill/control/coordination/Controller.java
+++ b/src/main/java/org/springmill/control/coordination/Controller.java
@@ -70,6 +70,7 @@
                 settings.operator().pendingSubmissions());
         directory.onChange(this::jobChanged);
         peers.onProgress(this::progressReceived);
+        peers.onSilentRefusal(leadership::leaderRefuses);
         store.onCommit(metrics::committed);
         metrics.gauge("leading", leadership, l -> l.mayPlace() ? 1 : 0);
         metrics.gauge("state.reachable", store, s -> s.reachable() ? 1 : 0);
--- a/src/main/java/org/springmill/control/coordination/Leadership.java
+++ b/src/main/java/org/springmill/control/coordination/Leadership.java
@@ -55,6 +55,7 @@
     private long watchFrom;
     private boolean renewing;
     private boolean informed;
+    private long deposedTerm;
     private double notBefore;
 
     Leadership(StateStore store, Loop loop, Settings settings, Timing timing, Peers peers, String incarnation,
@@ -138,6 +139,25 @@
         }
     }
 
+    /**
+     * A follower that finds the leader's process gone ends its lease for it, rather than wait. That is no proof of the
+     * leader's end and need not be one: taking a lease away early is safe, since a new leader allows its predecessor a
+     * whole lease and the grace from its own beginning on.
+     */
+    void leaderRefuses(String node) {
+        if (state != State.FOLLOWING || !node.equals(knownLeader) || deposedTerm == knownTerm) {
+            return;
+        }
+        store.get(KEY, read -> {
+            if (state == State.FOLLOWING && read.entry() != null && read.entry().version() > deposedTerm
+                    && read.entry().value().path("node").asText().equals(node)) {
+                deposedTerm = read.entry().version();
+                LOG.info("{} refuses connections: ending its term {}", node, deposedTerm);
+                store.revoke(read.entry().lease(), () -> store.get(KEY, this::seen));
+            }
+        });
+    }
+
     private void transition(State next) {
         if (state == next) {
             return;
--- a/src/main/java/org/springmill/control/coordination/Peers.java
+++ b/src/main/java/org/springmill/control/coordination/Peers.java
@@ -16,7 +16,7 @@
 import org.springmill.transport.PeerLink;
 
 /** What the other controllers say of themselves, dated by this one's clock: by when each was asked. */
-final class Peers {
+final class Peers implements PeerLink.Listener {
     private static final Logger LOG = LoggerFactory.getLogger(Peers.class);
 
     private final PeerLink link;
@@ -27,6 +27,7 @@
     private final Map<String, Word> words = new HashMap<>();
     private final Map<Long, Double> asked = new HashMap<>();
     private Consumer<Progress> onProgress = p -> { };
+    private Consumer<String> onSilentRefusal = node -> { };
     private double lastConfirmed = Double.NEGATIVE_INFINITY;
     private long question;
     private long highestTerm;
@@ -46,7 +47,7 @@
 
     /** Takes records only from here on: one that came while the controller was still being put together broke it. */
     void start() {
-        link.onRecord(this::received);
+        link.onRecord(this);
         ask();
     }
 
@@ -73,7 +74,8 @@
         link.send(node, PeerMessages.encode(message));
     }
 
-    private void received(byte[] bytes) {
+    @Override
+    public void received(byte[] bytes) {
         try {
             PeerRecord message = PeerMessages.decode(bytes);
             if (message instanceof Status status && settings.peers().containsKey(status.from())) {
@@ -94,6 +96,19 @@
         }
     }
 
+    @Override
+    public void refused(String node) {
+        Word word = words.get(node);
+        if (word == null || loop.now() - word.askedAt() > 2 * timing.pingS()) {
+            onSilentRefusal.accept(node);
+        }
+    }
+
+    /** Told of a node that refuses connections and has not answered for some time. */
+    void onSilentRefusal(Consumer<String> taker) {
+        onSilentRefusal = taker;
+    }
+
     private void answer(Status to) {
         Status status = self.get();
         if (!status.stateReachable()) {
--- a/src/main/java/org/springmill/transport/PeerLink.java
+++ b/src/main/java/org/springmill/transport/PeerLink.java
@@ -10,5 +10,8 @@
     /** Takes records as they come. */
     interface Listener {
         void received(byte[] record);
+
+        /** A node refused a connection: a hint that its process has ended, but no proof. */
+        void refused(String node);
     }
 }
--- a/src/main/java/org/springmill/transport/XnioPeerLink.java
+++ b/src/main/java/org/springmill/transport/XnioPeerLink.java
@@ -35,13 +35,23 @@
     private final XnioIoThread thread;
     private final Loop loop;
     private final Map<String, Outgoing> outgoing = new HashMap<>();
-    private Listener listener = record -> { };
+    private Listener listener = new Listener() {
+        @Override
+        public void received(byte[] record) {
+            LOG.debug("a record came before anyone takes them");
+        }
+
+        @Override
+        public void refused(String node) {
+            LOG.debug("{} refused before anyone listens", node);
+        }
+    };
 
     XnioPeerLink(XnioWorker worker, XnioIoThread thread, Loop loop, InetSocketAddress listen, Map<String, String> peers)
             throws IOException {
         this.thread = thread;
         this.loop = loop;
-        peers.forEach((node, address) -> outgoing.put(node, new Outgoing(Addresses.parse(address))));
+        peers.forEach((node, address) -> outgoing.put(node, new Outgoing(node, Addresses.parse(address))));
         AcceptingChannel<StreamConnection> server = worker.createStreamConnectionServer(listen, channel -> {
             try {
                 StreamConnection connection;
@@ -112,12 +122,14 @@
     }
 
     private final class Outgoing {
+        private final String node;
         private final InetSocketAddress address;
         private final ArrayDeque<ByteBuffer> queue = new ArrayDeque<>();
         private StreamConnection connection;
         private IoFuture<StreamConnection> attempt;
 
-        Outgoing(InetSocketAddress address) {
+        Outgoing(String node, InetSocketAddress address) {
+            this.node = node;
             this.address = address;
         }
 
@@ -151,6 +163,7 @@
                 if (future.getStatus() == IoFuture.Status.FAILED && attempt == started) {
                     attempt = null;
                     queue.clear();
+                    XnioLoop.runGuarded(() -> listener.refused(node));
                 }
             }, null);
         }
--- a/src/test/java/org/springmill/control/coordination/FailureTest.java
+++ b/src/test/java/org/springmill/control/coordination/FailureTest.java
@@ -198,6 +198,15 @@
         assertEquals(2, world.starts(TASK));
     }
 
+    @Test
+    void aCrashedLeaderIsReplacedBeforeItsLeaseEnds() {
+        int old = world.leader();
+        world.kill(old);
+        world.run(1.6);
+        assertNotEquals(old, world.leader());
+        assertNotEquals(-1, world.leader());
+    }
+
     @Test
     void aLeaderCutOffFromItsWorkersGivesWayBeforeTheirLeasesEnd() {
         world.submit(0, World.job(JOB, "red", "service", 4, 1, 1), Double.POSITIVE_INFINITY);
--- a/src/test/java/org/springmill/sim/World.java
+++ b/src/test/java/org/springmill/sim/World.java
@@ -48,7 +48,7 @@
     private final class Node implements Loop, HttpClient, PeerLink {
         private final int index;
         private final Controller controller;
-        private Listener listener = record -> { };
+        private Listener listener;
         private boolean dead;
 
         Node(int index) {
@@ -87,7 +87,9 @@
             }
             clock.after(0.002, () -> {
                 Node to = nodes[Integer.parseInt(node.substring(2))];
-                if (to != null) {
+                if (to == null) {
+                    listener.refused(node);
+                } else if (to.listener != null) {
                     to.listener.received(record);
                 }
             });
