--- a/src/main/java/org/springmill/control/coordination/Demand.java
+++ b/src/main/java/org/springmill/control/coordination/Demand.java
@@ -15,6 +15,7 @@
 final class Demand {
     /** Arrivals are counted over this many boots: long enough to be steady, short enough to follow a burst. */
     private static final double WINDOW_BOOTS = 3;
+    private static final double TIGHT_BOOTS = 4;
 
     private final Settings settings;
     private final double windowS;
@@ -39,11 +40,16 @@
         }
     }
 
-    /** Classes that have to start sooner than a machine boots, each with a job to stand for it. */
+    /**
+     * Classes that have to start sooner than a machine boots, or to be finished within so few boots that none of them
+     * may go by in waiting; each with a job to stand for it.
+     */
     List<Submission> urgent(double bootS) {
         Set<String> classes = new HashSet<>();
         for (Settings.Objective objective : settings.objectives()) {
-            if (objective.kind().equals("wait") && objective.withinS() < bootS && objective.jobClass() != null) {
+            boolean tight = objective.kind().equals("wait") && objective.withinS() < bootS
+                    || objective.kind().equals("finished") && objective.withinS() < TIGHT_BOOTS * bootS;
+            if (tight && objective.jobClass() != null) {
                 classes.add(objective.jobClass());
             }
         }
--- a/src/main/java/org/springmill/control/coordination/Placement.java
+++ b/src/main/java/org/springmill/control/coordination/Placement.java
@@ -11,6 +11,9 @@
 
 /** Chooses machines for waiting tasks, and what to stop for those that find none. */
 final class Placement {
+    /** So much longer a fetch may take for work that can run on a spot machine to be kept off an ordinary one. */
+    private static final double ORDINARY_S = 5;
+
     private final Fleet fleet;
     private final Timing timing;
 
@@ -127,6 +130,10 @@
         if (now - machine.lastHeard() > timing.reportS() * 1.3) {
             score += 10;
         }
+        if (spec.spot() && !machine.spot()) {
+            // Ordinary machines are for those that have no other choice; they run out first.
+            score += ORDINARY_S;
+        }
         if (spec.service() && spec.tasks() > 1) {
             score += job.inZone(machine.zone()) * 0.5;
         }
