--- a/src/main/java/org/springmill/control/coordination/Leadership.java
+++ b/src/main/java/org/springmill/control/coordination/Leadership.java
@@ -8,6 +8,7 @@
 import org.springmill.control.storage.StateStore.Outcome;
 import org.springmill.control.storage.StateStore.ReadResult;
 import org.springmill.protocol.Json;
+import org.springmill.protocol.PeerMessages.Status;
 import org.springmill.protocol.Settings;
 import org.springmill.protocol.StateMessages.Change;
 import org.springmill.protocol.StateMessages.Condition;
@@ -144,8 +145,10 @@
      * leader's end and need not be one: taking a lease away early is safe, since a new leader allows its predecessor a
      * whole lease and the grace from its own beginning on.
      */
-    void leaderRefuses(String node) {
-        if (state != State.FOLLOWING || !node.equals(knownLeader) || deposedTerm == knownTerm) {
+    void leaderRefuses(Status lastSaid) {
+        String node = lastSaid.from();
+        if (state != State.FOLLOWING || !node.equals(knownLeader) || lastSaid.term() < knownTerm
+                || deposedTerm == knownTerm) {
             return;
         }
         store.get(KEY, read -> {
--- a/src/main/java/org/springmill/control/coordination/Peers.java
+++ b/src/main/java/org/springmill/control/coordination/Peers.java
@@ -27,7 +27,7 @@
     private final Map<String, Word> words = new HashMap<>();
     private final Map<Long, Double> asked = new HashMap<>();
     private Consumer<Progress> onProgress = p -> { };
-    private Consumer<String> onSilentRefusal = node -> { };
+    private Consumer<Status> onSilentRefusal = status -> { };
     private double lastConfirmed = Double.NEGATIVE_INFINITY;
     private long question;
     private long highestTerm;
@@ -99,13 +99,17 @@
     @Override
     public void refused(String node) {
         Word word = words.get(node);
-        if (word == null || loop.now() - word.askedAt() > 2 * timing.pingS()) {
-            onSilentRefusal.accept(node);
+        if (word != null && word.status().leading() && loop.now() - word.askedAt() > 2 * timing.pingS()) {
+            onSilentRefusal.accept(word.status());
         }
     }
 
-    /** Told of a node that refuses connections and has not answered for some time. */
-    void onSilentRefusal(Consumer<String> taker) {
+    /**
+     * Told of a node that refuses connections and has not answered for some time, with the last that it said, if that
+     * was that it leads. One that never said so in its present term may merely be behind a packet filter: deposing
+     * every leader that refuses let a filter between controllers end term after term.
+     */
+    void onSilentRefusal(Consumer<Status> taker) {
         onSilentRefusal = taker;
     }
 
--- a/src/test/java/org/springmill/control/coordination/FailureTest.java
+++ b/src/test/java/org/springmill/control/coordination/FailureTest.java
@@ -207,6 +207,24 @@
         assertNotEquals(-1, world.leader());
     }
 
+    @Test
+    void aPacketFilterBetweenControllersEndsOneTermAtMost() {
+        world.submit(0, World.job(JOB, "red", "service", 4, 1, 1), Double.POSITIVE_INFINITY);
+        world.run(5);
+        int changes = 0;
+        int leader = world.leader();
+        world.filterPeers();
+        for (int i = 0; i < 100; i++) {
+            world.run(0.3);
+            if (world.leader() >= 0 && world.leader() != leader) {
+                leader = world.leader();
+                changes++;
+            }
+        }
+        assertTrue(changes <= 1, "changes of leader: " + changes);
+        assertEquals(4, world.running(JOB));
+    }
+
     @Test
     void aLeaderCutOffFromItsWorkersGivesWayBeforeTheirLeasesEnd() {
         world.submit(0, World.job(JOB, "red", "service", 4, 1, 1), Double.POSITIVE_INFINITY);
--- a/src/test/java/org/springmill/sim/World.java
+++ b/src/test/java/org/springmill/sim/World.java
@@ -43,6 +43,7 @@
     private final Set<String> cutPeers = new HashSet<>();
     private final List<String> broken = new ArrayList<>();
     private int incarnations;
+    private boolean filtered;
 
     /** One controller's process. */
     private final class Node implements Loop, HttpClient, PeerLink {
@@ -82,6 +83,10 @@
 
         @Override
         public void send(String node, byte[] record) {
+            if (filtered) {
+                clock.after(0.002, () -> listener.refused(node));
+                return;
+            }
             if (cutPeers.contains("n-" + index) || cutPeers.contains(node)) {
                 return;
             }
@@ -176,6 +181,11 @@
         }
     }
 
+    /** From now on a packet filter refuses all connections between controllers. */
+    public void filterPeers() {
+        filtered = true;
+    }
+
     /** The node whose leadership is on record, or -1. */
     public int leader() {
         JsonNode record = state.value("leader");
