--- a/src/main/java/org/springmill/cli/RunCommand.java
+++ b/src/main/java/org/springmill/cli/RunCommand.java
@@ -1,17 +1,15 @@
 package org.springmill.cli;
 
 import java.io.IOException;
-import java.nio.file.Path;
 import java.util.SplittableRandom;
 import java.util.concurrent.Callable;
 import org.springmill.control.coordination.Controller;
 import org.springmill.protocol.Settings;
 import org.springmill.protocol.SettingsException;
-import org.springmill.protocol.SettingsFile;
 import org.springmill.transport.PeerLink;
 import org.springmill.transport.Transport;
 import picocli.CommandLine.Command;
-import picocli.CommandLine.Option;
+import picocli.CommandLine.Mixin;
 
 /** Runs one controller until it is killed. */
 @Command(name = "run", mixinStandardHelpOptions = true, description = "Runs one controller until it is killed.")
@@ -21,16 +19,13 @@
     static final int BAD_SETTINGS = 2;
     private static final int CANNOT_START = 1;
 
-    @Option(names = "--config", required = true, paramLabel = "FILE", description = "The platform's settings (TOML).")
-    private Path config;
-
-    @Option(names = "--operator", paramLabel = "FILE", description = "Operators' own settings (HCL, optional).")
-    private Path operator;
+    @Mixin
+    private SettingsOptions options;
 
     @Override
     public Integer call() {
         try {
-            start(SettingsFile.read(config, operator));
+            start(options.read());
             return KEEPS_RUNNING;
         } catch (SettingsException e) {
             System.err.println("springmill: " + e.getMessage());
