Followers stand in for a leader that is cut off in an outage

Most controllers may now do so together, if none of them has heard a leader for a while; in exchange every leader needs the recent word of most controllers before silence proves anything.

--- a/src/main/java/org/springmill/control/coordination/Controller.java
+++ b/src/main/java/org/springmill/control/coordination/Controller.java
@@ -131,7 +131,7 @@
         double since = loop.now() - 2 * timing.quietS();
         strayWorkers.values().removeIf(at -> at < since);
         return new Status(settings.node(), 0, 0, store.reachable(), leadership.mayAnswer(), leadership.informed(),
-                strayWorkers.size(), leadership.knownTerm());
+                strayWorkers.size(), false, 0, leadership.knownTerm());
     }
 
     private void report(Call call) {
@@ -148,9 +148,11 @@
         }
         strayWorkers.put(report.machine(), loop.now());
         String leads = leadership.leader();
-        if (leader == null && !store.reachable() && peers.allConfirmOutage(leadership.knownTerm())
-                && !peers.someLead()) {
-            // Nobody can lead now, since nobody reaches the state service: keep the worker's lease, order nothing.
+        boolean witnessed = peers.allConfirmOutage(leadership.knownTerm())
+                || leadership.informed() && peers.mostMissTheLeader(leadership.knownTerm());
+        if (leader == null && !store.reachable() && witnessed && !peers.someLead()) {
+            // Nobody leads, or nobody who could act on this worker's silence: keep its lease, order nothing.
+            peers.stoodIn();
             call.reply(200, WorkerMessages.reportAnswer(report.token(), java.util.List.of()), 0);
         } else if (leads != null && !leads.equals(settings.node())) {
             call.reply(421, WorkerMessages.redirect(leads), 0);
--- a/src/main/java/org/springmill/control/coordination/Peers.java
+++ b/src/main/java/org/springmill/control/coordination/Peers.java
@@ -28,12 +28,13 @@
     private final Map<Long, Double> asked = new HashMap<>();
     private Consumer<Progress> onProgress = p -> { };
     private Consumer<Status> onSilentRefusal = status -> { };
-    private double lastConfirmed = Double.NEGATIVE_INFINITY;
+    private double lastWitness;
+    private double lastLeaderHeard;
     private long question;
     private long highestTerm;
 
     /** A peer's latest answer. */
-    private record Word(double askedAt, Status status) {
+    private record Word(double askedAt, double receivedAt, Status status) {
     }
 
     /** @param self gives what this controller says of itself; its numbers are filled in here */
@@ -43,6 +44,9 @@
         this.settings = settings;
         this.timing = timing;
         this.self = self;
+        // An earlier process of this node may have borne witness until just now.
+        this.lastWitness = loop.now();
+        this.lastLeaderHeard = loop.now();
     }
 
     /** Takes records only from here on: one that came while the controller was still being put together broke it. */
@@ -80,12 +84,15 @@
             PeerRecord message = PeerMessages.decode(bytes);
             if (message instanceof Status status && settings.peers().containsKey(status.from())) {
                 highestTerm = Math.max(highestTerm, status.term());
+                if (status.leading()) {
+                    lastLeaderHeard = loop.now();
+                }
                 if (status.echo() == 0) {
                     answer(status);
                 } else {
                     Double at = asked.get(status.echo());
                     if (at != null) {
-                        words.put(status.from(), new Word(at, status));
+                        words.put(status.from(), new Word(at, loop.now(), status));
                     }
                 }
             } else if (message instanceof Progress progress) {
@@ -115,8 +122,9 @@
 
     private void answer(Status to) {
         Status status = self.get();
-        if (!status.stateReachable()) {
-            lastConfirmed = loop.now();
+        // A word of one that hears a leader is of use only together with that leader's own, which it remembers itself.
+        if (!status.stateReachable() && (leaderSilent() || status.leading())) {
+            lastWitness = loop.now();
         }
         send(to.from(), numbered(status, 0, to.question()));
     }
@@ -124,7 +132,8 @@
     /** What is said never falls behind what was heard: an answer that names a term is a promise to know it from then on. */
     private Status numbered(Status status, long number, long echo) {
         return new Status(settings.node(), number, echo, status.stateReachable(), status.leading(), status.informed(),
-                status.workers(), Math.max(highestTerm, status.term()));
+                status.workers(), leaderSilent(), (int) Math.min(Integer.MAX_VALUE, (loop.now() - lastWitness) * 1000),
+                Math.max(highestTerm, status.term()));
     }
 
     private boolean recent(Word word) {
@@ -145,6 +154,25 @@
         return isMost(settings.peers().keySet().stream().filter(node -> confirms(node, term, true)).count());
     }
 
+    /**
+     * Whether, with this one, most controllers say so and none of them has heard of a leader for some time: then any
+     * leader there may be has no majority to prove anything by silence with.
+     */
+    boolean mostMissTheLeader(long term) {
+        return leaderSilent() && isMost(settings.peers().keySet().stream()
+                .filter(node -> confirms(node, term, true) && words.get(node).status().leaderSilent()).count());
+    }
+
+    /** Longer than a leader relies on a word, so that whoever has just answered it does not stand in for it. */
+    private boolean leaderSilent() {
+        return loop.now() - lastLeaderHeard > 2 * timing.confirmS();
+    }
+
+    /** Notes that a worker's lease was renewed on the word of others, though nobody is known to lead. */
+    void stoodIn() {
+        lastWitness = loop.now();
+    }
+
     private boolean confirms(String node, long term, boolean hasToBeInformed) {
         Word word = words.get(node);
         return recent(word) && !word.status().stateReachable() && word.status().term() <= term
@@ -178,8 +206,19 @@
         return highestTerm;
     }
 
-    /** Until when another controller may renew leases on the strength of this one's word. */
+    /**
+     * Until when other controllers may have renewed leases although this one leads. Unknown, and so without end, unless
+     * most controllers have lately answered this one: having heard of a leader they stand in for none.
+     */
     double othersMayRenewUntil() {
-        return lastConfirmed + timing.confirmS() * 1.002;
+        double latest = lastWitness;
+        int heard = 0;
+        for (Word word : words.values()) {
+            if (recent(word)) {
+                heard++;
+                latest = Math.max(latest, word.receivedAt() - word.status().witnessAgoMs() / 1000.0 * 0.998);
+            }
+        }
+        return isMost(heard) ? latest + timing.confirmS() * 1.002 : Double.POSITIVE_INFINITY;
     }
 }
--- a/src/main/java/org/springmill/protocol/PeerMessages.java
+++ b/src/main/java/org/springmill/protocol/PeerMessages.java
@@ -31,10 +31,12 @@
      * @param leading whether it answers workers as the leader
      * @param informed whether it has read the leader's record since it was started, so that its term means something
      * @param workers how many workers lately came to it with reports although it does not lead
+     * @param leaderSilent whether it has not heard from a leading controller for some time
+     * @param witnessAgoMs how long ago it last bore witness of an outage, or answered a worker on such witness
      * @param term the highest leadership term it knows of
      */
     public record Status(String from, long question, long echo, boolean stateReachable, boolean leading,
-            boolean informed, int workers, long term)
+            boolean informed, int workers, boolean leaderSilent, int witnessAgoMs, long term)
             implements PeerRecord {
     }
 
@@ -61,6 +63,8 @@
                 out.writeBoolean(s.leading);
                 out.writeBoolean(s.informed);
                 out.writeInt(s.workers);
+                out.writeBoolean(s.leaderSilent);
+                out.writeInt(s.witnessAgoMs);
                 out.writeLong(s.term);
             } else if (message instanceof Progress p) {
                 out.writeByte(2);
@@ -89,7 +93,7 @@
             int kind = in.readUnsignedByte();
             if (kind == 1) {
                 return new Status(in.readUTF(), in.readLong(), in.readLong(), in.readBoolean(), in.readBoolean(),
-                        in.readBoolean(), in.readInt(), in.readLong());
+                        in.readBoolean(), in.readInt(), in.readBoolean(), in.readInt(), in.readLong());
             }
             if (kind != 2) {
                 throw new BadMessageException("peer record of kind " + kind);
--- a/src/test/java/org/springmill/control/coordination/FailureTest.java
+++ b/src/test/java/org/springmill/control/coordination/FailureTest.java
@@ -225,6 +225,64 @@
         assertEquals(4, world.running(JOB));
     }
 
+    @ParameterizedTest
+    @ValueSource(doubles = {5, 25})
+    void theOthersStandInForALeaderThatIsCutOffInAnOutage(double cutForS) {
+        world.submit(0, World.job(JOB, "red", "service", 4, 1, 1), Double.POSITIVE_INFINITY);
+        world.run(8);
+        int cut = world.leader();
+        world.state().setDown(true);
+        world.run(3);
+        world.cutPeers(cut, true);
+        world.network().judge((from, request) -> from.equals("n-" + cut)
+                || request.address().equals("10.0.0." + cut + ":8080") ? Fate.DROP : Fate.DELIVER);
+        world.run(cutForS);
+        world.state().setDown(false);
+        world.run(5);
+        world.cutPeers(cut, false);
+        world.network().judge((from, request) -> Fate.DELIVER);
+        world.run(30);
+        assertEquals(4, world.running(JOB));
+        for (int i = 0; i < 4; i++) {
+            assertEquals(1, world.starts(JOB + "/" + i), "task " + i);
+        }
+    }
+
+    @Test
+    void aFollowerRefusedByTheStateServiceDoesNotHinderTheLeader() {
+        world.submit(0, World.job(JOB, "red", "service", 2, 1, 1), Double.POSITIVE_INFINITY);
+        world.run(8);
+        int refused = follower();
+        world.network().judge((from, request) -> from.equals("n-" + refused) && toState(request)
+                || request.path().equals("/rentals/delete") ? Fate.REFUSE : Fate.DELIVER);
+        world.run(5);
+        SimWorker hung = world.holder(TASK);
+        hung.hang(true);
+        world.run(25);
+        // The cloud deletes nothing today, so this was proven by silence alone.
+        assertEquals(2, world.starts(TASK));
+    }
+
+    @Test
+    void aLeaderAloneWithTheStateServiceProvesNothingBySilence() {
+        world.submit(0, World.job(JOB, "red", "service", 4, 1, 1), Double.POSITIVE_INFINITY);
+        world.run(8);
+        int alone = world.leader();
+        world.cutPeers(alone, true);
+        // The others see an outage and, for lack of a leader, keep the workers; the leader sees only silent workers.
+        world.network().judge((from, request) -> {
+            boolean othersState = !from.equals("n-" + alone) && toState(request);
+            boolean workers = from.startsWith("host-") && request.address().equals("10.0.0." + alone + ":8080")
+                    || from.equals("n-" + alone) && request.address().startsWith("10.1.");
+            return othersState ? Fate.REFUSE : workers ? Fate.DROP : Fate.DELIVER;
+        });
+        world.run(60);
+        world.cutPeers(alone, false);
+        world.network().judge((from, request) -> Fate.DELIVER);
+        world.run(60);
+        assertEquals(4, world.running(JOB));
+    }
+
     @Test
     void aLeaderCutOffFromItsWorkersGivesWayBeforeTheirLeasesEnd() {
         world.submit(0, World.job(JOB, "red", "service", 4, 1, 1), Double.POSITIVE_INFINITY);
--- a/src/test/java/org/springmill/protocol/PeerMessagesTest.java
+++ b/src/test/java/org/springmill/protocol/PeerMessagesTest.java
@@ -15,8 +15,8 @@
 
 class PeerMessagesTest {
     static Stream<PeerRecord> records() {
-        return Stream.of(new Status("n-1", 7, 0, true, false, true, 3, 99),
-                new Status("n-2", 0, 7, false, true, false, 0, Long.MAX_VALUE),
+        return Stream.of(new Status("n-1", 7, 0, true, false, true, 3, false, 250, 99),
+                new Status("n-2", 0, 7, false, true, false, 0, true, 9, Long.MAX_VALUE),
                 new Progress("n-1", 5, List.of()),
                 new Progress("n-1", 5, List.of(new JobProgress("run-000001", 3, 9))));
     }
