--- a/src/main/java/org/springmill/control/coordination/Placement.java
+++ b/src/main/java/org/springmill/control/coordination/Placement.java
@@ -14,8 +14,12 @@
     /** So much longer a fetch may take for work that can run on a spot machine to be kept off an ordinary one. */
     private static final double ORDINARY_S = 5;
 
+    /** Worth of keeping room whole for one of the largest replicas; less than any fetch. */
+    private static final double SLOT_S = 0.6;
+
     private final Fleet fleet;
     private final Timing timing;
+    private Submission largest;
 
     Placement(Fleet fleet, Timing timing) {
         this.fleet = fleet;
@@ -48,6 +52,7 @@
         double now = fleet.now();
         List<Attempt> placed = new ArrayList<>();
         fleet.ledger().releaseHeld();
+        largest = largestReplica();
         for (Job job : waiting()) {
             if (now < job.notBefore()) {
                 continue;
@@ -137,9 +142,37 @@
         if (spec.service() && spec.tasks() > 1) {
             score += job.inZone(machine.zone()) * 0.5;
         }
+        if (largest != null) {
+            score += SLOT_S * (slots(machine, 0, 0, 0) - slots(machine, spec.cpus(), spec.gpus(), spec.memoryGb()));
+        }
         return score - roomShare(machine) * 0.4;
     }
 
+    /** The replica that is hardest to place: room for it should not be broken up by smaller work. */
+    private Submission largestReplica() {
+        Submission found = null;
+        for (Job job : fleet.ledger().jobs().values()) {
+            Submission spec = job.spec();
+            boolean larger = found == null || spec.gpus() > found.gpus()
+                    || spec.gpus() == found.gpus() && spec.cpus() > found.cpus();
+            if (job.active() && spec.service() && larger) {
+                found = spec;
+            }
+        }
+        return found;
+    }
+
+    /** How many of the largest replicas fit a machine once so much more of it is taken. */
+    private int slots(Machine machine, double cpus, double gpus, double memory) {
+        if (!machine.suits(largest)) {
+            return 0;
+        }
+        double byCpus = largest.cpus() == 0 ? 1e6 : (machine.freeCpus() - cpus + 1e-6) / largest.cpus();
+        double byGpus = largest.gpus() == 0 ? 1e6 : (machine.freeGpus() - gpus + 1e-6) / largest.gpus();
+        double byMemory = largest.memoryGb() == 0 ? 1e6 : (machine.freeMemory() - memory + 1e-6) / largest.memoryGb();
+        return (int) Math.max(0, Math.floor(Math.min(byCpus, Math.min(byGpus, byMemory))));
+    }
+
     private static double roomShare(Machine machine) {
         double cpus = machine.freeCpus() / Math.max(1e-6, machine.type().cpus());
         return machine.type().gpus() == 0 ? cpus : Math.min(cpus, machine.freeGpus() / machine.type().gpus());
--- a/src/test/java/org/springmill/control/coordination/FailureTest.java
+++ b/src/test/java/org/springmill/control/coordination/FailureTest.java
@@ -542,6 +542,20 @@
         assertEquals("done", world.phase(0, JOB));
     }
 
+    @Test
+    void smallWorkDoesNotBreakUpTheRoomOfLargeReplicas() {
+        world.cloud().runOut();
+        world.submit(0, World.job(JOB, "blue", "service", 1, 1, 8), Double.POSITIVE_INFINITY);
+        world.run(4);
+        for (int i = 0; i < 6; i++) {
+            world.submit(0, World.job("run-00050" + i, "blue", "service", 1, 1, 1), Double.POSITIVE_INFINITY);
+            world.run(1);
+        }
+        world.submit(0, World.job("run-000002", "blue", "service", 2, 1, 8), Double.POSITIVE_INFINITY);
+        world.run(8);
+        assertEquals(2, world.running("run-000002"));
+    }
+
     @Test
     void aNoticedMachineIsLeftInTime() {
         world.submit(0, World.job(JOB, "red", "service", 1, 1, 1), Double.POSITIVE_INFINITY);
