--- a/src/main/java/org/springmill/control/coordination/Rentals.java
+++ b/src/main/java/org/springmill/control/coordination/Rentals.java
@@ -267,7 +267,7 @@
             }
             pack(job.spec(), wanted, zones, room, now);
         }
-        for (Submission job : demand.urgent(slowestBootS())) {
+        for (Submission job : demand.urgent(slowestBootS(), this::fetchGbPerS)) {
             int wanted = demand.expected(job.jobClass(), slowestBootS(), now);
             for (int i = 0; i < wanted; i++) {
                 pack(job, 1, new HashMap<>(), room, now);
@@ -277,6 +277,17 @@
         returnIdle(now);
     }
 
+    /** How fast the slowest of a job's machine types fetches images. */
+    private double fetchGbPerS(Submission spec) {
+        double slowest = Double.POSITIVE_INFINITY;
+        for (MachineType type : fleet.catalog().all()) {
+            if (type.fits(spec)) {
+                slowest = Math.min(slowest, type.fetchGbPerS());
+            }
+        }
+        return Math.max(1e-3, slowest);
+    }
+
     private double slowestBootS() {
         double slowest = 0;
         for (MachineType type : fleet.catalog().all()) {
@@ -422,7 +433,7 @@
                         machine.freeGpus(), machine.freeMemory()));
             }
         }
-        for (Submission job : demand.urgent(slowestBootS())) {
+        for (Submission job : demand.urgent(slowestBootS(), this::fetchGbPerS)) {
             int wanted = demand.expected(job.jobClass(), slowestBootS(), now);
             for (int i = 0; i < wanted; i++) {
                 boolean placed = room.stream().anyMatch(bin -> bin.take(job, new HashMap<>()));
