--- a/src/main/java/org/springmill/control/coordination/Demand.java
+++ b/src/main/java/org/springmill/control/coordination/Demand.java
@@ -1,13 +1,13 @@
 package org.springmill.control.coordination;
 
 import java.util.ArrayDeque;
+import java.util.ArrayList;
 import java.util.Deque;
 import java.util.HashMap;
-import java.util.LinkedHashSet;
+import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
-import java.util.function.ToDoubleFunction;
 import org.springmill.protocol.Settings;
 import org.springmill.protocol.Submission;
 
@@ -41,24 +41,26 @@
     }
 
     /**
-     * Classes that have to start sooner than a machine boots and fetches their image, or to be finished within so few boots that none of them
+     * Classes that have to start sooner than a machine boots, or to be finished within so few boots that none of them
      * may go by in waiting; each with a job to stand for it.
      */
-    List<Submission> urgent(double bootS, ToDoubleFunction<Submission> fetchGbPerS) {
-        Set<Submission> jobs = new LinkedHashSet<>();
+    List<Submission> urgent(double bootS) {
+        Set<String> classes = new HashSet<>();
         for (Settings.Objective objective : settings.objectives()) {
-            Submission job = latest.get(objective.jobClass());
-            if (job == null) {
-                continue;
-            }
-            double startS = bootS + job.imageGb() / fetchGbPerS.applyAsDouble(job);
-            boolean tight = objective.kind().equals("wait") && objective.withinS() < startS
+            boolean tight = objective.kind().equals("wait") && objective.withinS() < bootS
                     || objective.kind().equals("finished") && objective.withinS() < TIGHT_BOOTS * bootS;
-            if (tight) {
+            if (tight && objective.jobClass() != null) {
+                classes.add(objective.jobClass());
+            }
+        }
+        List<Submission> jobs = new ArrayList<>();
+        for (String jobClass : classes) {
+            Submission job = latest.get(jobClass);
+            if (job != null) {
                 jobs.add(job);
             }
         }
-        return List.copyOf(jobs);
+        return jobs;
     }
 
     /** How many tasks of a class to expect while a machine boots, with what chance adds on top. */
--- a/src/main/java/org/springmill/control/coordination/Rentals.java
+++ b/src/main/java/org/springmill/control/coordination/Rentals.java
@@ -267,7 +267,7 @@
             }
             pack(job.spec(), wanted, zones, room, now);
         }
-        for (Submission job : demand.urgent(slowestBootS(), this::fetchGbPerS)) {
+        for (Submission job : demand.urgent(slowestBootS())) {
             int wanted = demand.expected(job.jobClass(), slowestBootS(), now);
             for (int i = 0; i < wanted; i++) {
                 pack(job, 1, new HashMap<>(), room, now);
@@ -277,17 +277,6 @@
         returnIdle(now);
     }
 
-    /** How fast the slowest of a job's machine types fetches images. */
-    private double fetchGbPerS(Submission spec) {
-        double slowest = Double.POSITIVE_INFINITY;
-        for (MachineType type : fleet.catalog().all()) {
-            if (type.fits(spec)) {
-                slowest = Math.min(slowest, type.fetchGbPerS());
-            }
-        }
-        return Math.max(1e-3, slowest);
-    }
-
     private double slowestBootS() {
         double slowest = 0;
         for (MachineType type : fleet.catalog().all()) {
@@ -433,7 +422,7 @@
                         machine.freeGpus(), machine.freeMemory()));
             }
         }
-        for (Submission job : demand.urgent(slowestBootS(), this::fetchGbPerS)) {
+        for (Submission job : demand.urgent(slowestBootS())) {
             int wanted = demand.expected(job.jobClass(), slowestBootS(), now);
             for (int i = 0; i < wanted; i++) {
                 boolean placed = room.stream().anyMatch(bin -> bin.take(job, new HashMap<>()));
