--- a/src/main/java/org/springmill/transport/UndertowServer.java
+++ b/src/main/java/org/springmill/transport/UndertowServer.java
@@ -28,8 +28,8 @@
     static final int MAX_BODY_BYTES = 64 * 1024;
     private static final int MAX_HEADER_BYTES = 8 * 1024;
     /** A request that was begun has to be complete within this time; a half-sent one must not hold a socket. */
-    private static final int REQUEST_MS = 10_000;
-    private static final int IDLE_MS = 120_000;
+    private static final int REQUEST_MS = 5_000;
+    private static final int IDLE_MS = 30_000;
 
     private UndertowServer() {
     }
