--- a/src/main/java/org/springmill/transport/UndertowServer.java
+++ b/src/main/java/org/springmill/transport/UndertowServer.java
@@ -43,18 +43,25 @@
                 .set(UndertowOptions.ALWAYS_SET_DATE, false)
                 .set(UndertowOptions.ENABLE_HTTP2, false)
                 .getMap());
-        listener.setRootHandler(exchange -> receive(exchange, loop, handler));
-        ChannelListener<AcceptingChannel<StreamConnection>> acceptor = ChannelListeners.openListenerAdapter(listener);
         // Connections past the high mark wait in the backlog: a flood must not take the sockets that this
         // controller needs for the state service, the cloud and the workers' commands.
         int high = Math.max(16, maxSockets * 6 / 10);
+        Admission admission = new Admission(high - high / 8);
+        listener.setRootHandler(exchange -> receive(exchange, loop, call -> {
+            admission.used(exchange.getConnection().getPeerAddress());
+            handler.handle(call);
+        }));
+        ChannelListener<AcceptingChannel<StreamConnection>> acceptor = ChannelListeners.openListenerAdapter(connection -> {
+            admission.admit(connection);
+            listener.handleEvent(connection);
+        });
         AcceptingChannel<StreamConnection> channel = worker.createStreamConnectionServer(address, acceptor,
                 OptionMap.builder()
                         .set(Options.TCP_NODELAY, true)
                         .set(Options.REUSE_ADDRESSES, true)
                         .set(Options.BACKLOG, 256)
                         .set(Options.CONNECTION_HIGH_WATER, high)
-                        .set(Options.CONNECTION_LOW_WATER, high - high / 8)
+                        .set(Options.CONNECTION_LOW_WATER, high - 4)
                         .getMap());
         channel.resumeAccepts();
         return channel.getLocalAddress(InetSocketAddress.class).getPort();
