--- a/src/main/java/org/springmill/control/coordination/Attempt.java
+++ b/src/main/java/org/springmill/control/coordination/Attempt.java
@@ -122,10 +122,6 @@
         return true;
     }
 
-    boolean live() {
-        return state != State.GONE;
-    }
-
     /** The highest token that a command to start it may have carried; it cannot start under a higher one. */
     long exposedToken() {
         return exposedToken;
--- a/src/main/java/org/springmill/control/coordination/Job.java
+++ b/src/main/java/org/springmill/control/coordination/Job.java
@@ -23,7 +23,6 @@
     private long version;
     private double endedAt;
     private double notBefore;
-    private int failures;
     private boolean ending;
 
     Job(Submission spec, long version) {
@@ -183,7 +182,6 @@
     /** A job that fails on one machine after the other is at fault itself and waits longer each time. */
     void failedOn(String machine, double now, double stepS) {
         failedOn.add(machine);
-        failures++;
         if (failedOn.size() > 1) {
             notBefore = now + stepS * Math.min(32, 1 << Math.min(5, failedOn.size() - 2));
         }
@@ -197,10 +195,6 @@
         return failedOn.size();
     }
 
-    int failures() {
-        return failures;
-    }
-
     void succeeded() {
         failedOn.clear();
     }
--- a/src/main/java/org/springmill/control/coordination/Machine.java
+++ b/src/main/java/org/springmill/control/coordination/Machine.java
@@ -52,7 +52,7 @@
     private double listedAt = Double.NEGATIVE_INFINITY;
     private double idleSince;
     private double noticeAt = Double.POSITIVE_INFINITY;
-    private double ordersFailedSince = Double.POSITIVE_INFINITY;
+    private boolean ordersFailing;
     private double avoidUntil = Double.NEGATIVE_INFINITY;
     private List<TaskReport> reported = List.of();
     private boolean quarantined;
@@ -230,20 +230,16 @@
         return noticeAt;
     }
 
-    void ordersFailed(double now) {
-        ordersFailedSince = Math.min(ordersFailedSince, now);
+    void ordersFailed() {
+        ordersFailing = true;
     }
 
     void ordersWorked() {
-        ordersFailedSince = Double.POSITIVE_INFINITY;
+        ordersFailing = false;
     }
 
     boolean ordersFailing() {
-        return ordersFailedSince < Double.POSITIVE_INFINITY;
-    }
-
-    double ordersFailedSince() {
-        return ordersFailedSince;
+        return ordersFailing;
     }
 
     void avoidUntil(double time) {
--- a/src/main/java/org/springmill/control/coordination/Orders.java
+++ b/src/main/java/org/springmill/control/coordination/Orders.java
@@ -91,7 +91,7 @@
             poke(machine);
         } else {
             LOG.debug("{} gives no answer to orders ({})", machine.name(), reply.status());
-            machine.ordersFailed(fleet.now());
+            machine.ordersFailed();
             machine.askAgain = true;
             machine.nextOrders = fleet.now() + againS();
         }
--- a/src/main/java/org/springmill/control/coordination/Peers.java
+++ b/src/main/java/org/springmill/control/coordination/Peers.java
@@ -219,6 +219,6 @@
                 latest = Math.max(latest, word.receivedAt() - word.status().witnessAgoMs() / 1000.0 * 0.998);
             }
         }
-        return isMost(heard) ? latest + timing.confirmS() * 1.002 : Double.POSITIVE_INFINITY;
+        return isMost(heard) ? latest + timing.wordS() : Double.POSITIVE_INFINITY;
     }
 }
--- a/src/main/java/org/springmill/control/coordination/Rentals.java
+++ b/src/main/java/org/springmill/control/coordination/Rentals.java
@@ -68,6 +68,11 @@
             this.memory = memory;
         }
 
+        static Bin of(Machine machine) {
+            return new Bin(machine.type(), machine.zone(), machine.spot(), false, machine.freeCpus(), machine.freeGpus(),
+                    machine.freeMemory());
+        }
+
         boolean take(Submission spec, Map<String, Integer> zones) {
             boolean fits = type.fits(spec) && (!spot || spec.spot()) && (spec.zone() == null || spec.zone().equals(zone))
                     && spec.cpus() <= cpus + 1e-6 && spec.gpus() <= gpus + 1e-6 && spec.memoryGb() <= memory + 1e-6
@@ -214,7 +219,7 @@
                 default -> { }
             }
         }
-        resolve();
+        refusedUntil.values().removeIf(until -> until < now);
         plan(now);
     }
 
@@ -251,8 +256,7 @@
             boolean there = machine.state() == Machine.State.EXPECTED
                     || machine.state() == Machine.State.UP && machine.takesWork(now, timing.leaseS());
             if (there) {
-                room.add(new Bin(machine.type(), machine.zone(), machine.spot(), false, machine.freeCpus(),
-                        machine.freeGpus(), machine.freeMemory()));
+                room.add(Bin.of(machine));
             }
         }
         room.sort(Comparator.comparingDouble(b -> b.type.price()));
@@ -397,10 +401,6 @@
         }
     }
 
-    private void resolve() {
-        refusedUntil.values().removeIf(until -> until < loop.now());
-    }
-
     /** Gives back machines that stood idle, while what remains still has room for what is to be expected. */
     private void returnIdle(double now) {
         for (Machine machine : fleet.machinesNow()) {
@@ -418,8 +418,7 @@
         List<Bin> room = new ArrayList<>();
         for (Machine machine : fleet.machines()) {
             if (machine != candidate && machine.type() != null && machine.takesWork(now, timing.leaseS())) {
-                room.add(new Bin(machine.type(), machine.zone(), machine.spot(), false, machine.freeCpus(),
-                        machine.freeGpus(), machine.freeMemory()));
+                room.add(Bin.of(machine));
             }
         }
         for (Submission job : demand.urgent(slowestBootS())) {
--- a/src/main/java/org/springmill/control/coordination/Settling.java
+++ b/src/main/java/org/springmill/control/coordination/Settling.java
@@ -152,7 +152,7 @@
         // Until the worker has seen this term's token it may obey an earlier leader, whose last answer is not known
         // here: a worker that showed the token and then fell silent has its full lease from then on.
         // Without that, an earlier leader may go on as long as most controllers bear it out: until most know this term.
-        double earlier = Math.max(tookOver + timing.othersS(), acknowledged + timing.confirmS() * 1.002);
+        double earlier = Math.max(tookOver + timing.othersS(), acknowledged + timing.wordS());
         return Math.max(renewed, Math.min(machine.ownTokenSeen(), earlier)) + timing.leaseS();
     }
 
--- a/src/main/java/org/springmill/control/coordination/Timing.java
+++ b/src/main/java/org/springmill/control/coordination/Timing.java
@@ -30,6 +30,11 @@
                 report * 1.25 * 1.6, report * 2.6, report * 0.6, settings.workers().cancelS() * 0.55);
     }
 
+    /** How long after a peer's word someone may still act on it. */
+    double wordS() {
+        return confirmS * DRIFT;
+    }
+
     /** How long after a leader took over another controller may still renew a worker's lease. */
     double othersS() {
         return Math.max(leaderTtlS + graceS, confirmS) * DRIFT;
