Work per round follows what changed, not the size of the fleet

Cause: each waiting task scored every machine, each idle machine repeated the whole packing of demand, every report asked for a round, and live claims were rewritten every 24 rounds. Deletions took one cloud call each.

--- a/src/main/java/org/springmill/control/coordination/Ledger.java
+++ b/src/main/java/org/springmill/control/coordination/Ledger.java
@@ -1,12 +1,14 @@
 package org.springmill.control.coordination;
 
 import java.util.ArrayList;
+import java.util.EnumMap;
 import java.util.HashMap;
 import java.util.LinkedHashMap;
 import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
+import org.springmill.protocol.Priority;
 import org.springmill.protocol.Settings;
 import org.springmill.protocol.Submission;
 
@@ -16,6 +18,7 @@
     private final Map<String, Job> jobs = new LinkedHashMap<>();
     private final Map<String, Usage> teams = new HashMap<>();
     private final Set<Attempt> ended = new LinkedHashSet<>();
+    private final Map<Priority, Integer> attempts = new EnumMap<>(Priority.class);
 
     /** What a team's attempts take. */
     static final class Usage {
@@ -107,6 +110,16 @@
         Usage usage = usage(attempt.job().spec().team());
         usage.cpus += sign * attempt.job().spec().cpus();
         usage.gpus += sign * attempt.job().spec().gpus();
+        attempts.merge(attempt.job().spec().priority(), sign, Integer::sum);
+    }
+
+    /** Whether anything of a lower priority holds a place. */
+    boolean runsBelow(Priority priority) {
+        return attempts.entrySet().stream().anyMatch(e -> e.getValue() > 0 && priority.above(e.getKey()));
+    }
+
+    boolean otherAboveGuarantee(String team) {
+        return teams.entrySet().stream().anyMatch(e -> !e.getKey().equals(team) && e.getValue().aboveGuarantee());
     }
 
     void releaseHeld() {
--- a/src/main/java/org/springmill/control/coordination/Placement.java
+++ b/src/main/java/org/springmill/control/coordination/Placement.java
@@ -5,6 +5,8 @@
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.PriorityQueue;
+import java.util.function.ToDoubleFunction;
 import org.springmill.control.storage.Claim;
 import org.springmill.protocol.Submission;
 import org.springmill.protocol.TaskId;
@@ -21,6 +23,54 @@
     private final Timing timing;
     private Submission largest;
 
+    /**
+     * Machines by what it costs to use them for one job. Using a machine changes the cost of that one, and can only
+     * raise that of others in its zone, so each task looks at the few machines on top rather than at all of them: with
+     * hundreds of machines, arrays of a hundred tasks took a controller seconds to place.
+     */
+    private static final class Ranking {
+        private record Option(Machine machine, double cost, int order) {
+        }
+
+        private final PriorityQueue<Option> options = new PriorityQueue<>(
+                Comparator.comparingDouble(Option::cost).thenComparingInt(Option::order));
+        private final ToDoubleFunction<Machine> cost;
+        private Option taken;
+
+        /** @param cost infinite where the machine cannot be used */
+        Ranking(Iterable<Machine> machines, ToDoubleFunction<Machine> cost) {
+            this.cost = cost;
+            int order = 0;
+            for (Machine machine : machines) {
+                offer(machine, order++);
+            }
+        }
+
+        private void offer(Machine machine, int order) {
+            double now = cost.applyAsDouble(machine);
+            if (now < Double.POSITIVE_INFINITY) {
+                options.add(new Option(machine, now, order));
+            }
+        }
+
+        /** The machine that costs least now; null if there is none. */
+        Machine best() {
+            if (taken != null) {
+                offer(taken.machine(), taken.order());
+            }
+            for (taken = options.poll(); taken != null; taken = options.poll()) {
+                double now = cost.applyAsDouble(taken.machine());
+                if (now <= taken.cost()) {
+                    return taken.machine();
+                }
+                if (now < Double.POSITIVE_INFINITY) {
+                    options.add(new Option(taken.machine(), now, taken.order()));
+                }
+            }
+            return null;
+        }
+    }
+
     Placement(Fleet fleet, Timing timing) {
         this.fleet = fleet;
         this.timing = timing;
@@ -52,17 +102,23 @@
         double now = fleet.now();
         List<Attempt> placed = new ArrayList<>();
         fleet.ledger().releaseHeld();
+        List<Job> waiting = waiting();
+        if (waiting.isEmpty()) {
+            return placed;
+        }
         largest = largestReplica();
-        for (Job job : waiting()) {
+        List<Machine> open = open(now);
+        for (Job job : waiting) {
             if (now < job.notBefore()) {
                 continue;
             }
+            Ranking ranking = new Ranking(open, machine -> placingCost(job, machine, now));
             if (job.spec().gang()) {
-                placeGang(job, round, most, placed);
+                placeGang(job, ranking, round, most, placed);
                 continue;
             }
             while (placed.size() < most && job.nextTask() >= 0 && usage(job).allows(job.spec())) {
-                if (!placeNext(job, round, placed)) {
+                if (!placeNext(job, ranking, round, placed)) {
                     if (job.spec().service()) {
                         usage(job).hold(job.spec(), job.waiting());
                     }
@@ -73,8 +129,8 @@
         return placed;
     }
 
-    private boolean placeNext(Job job, long round, List<Attempt> placed) {
-        Machine machine = choose(job);
+    private boolean placeNext(Job job, Ranking ranking, long round, List<Attempt> placed) {
+        Machine machine = ranking.best();
         if (machine == null) {
             return false;
         }
@@ -87,14 +143,14 @@
     }
 
     /** A gang is claimed in one round, and only when all of its members find a place. */
-    private void placeGang(Job job, long round, int most, List<Attempt> placed) {
+    private void placeGang(Job job, Ranking ranking, long round, int most, List<Attempt> placed) {
         if (job.liveCount() > 0 || !placed.isEmpty() && job.waiting() > most - placed.size()) {
             return;
         }
         List<Attempt> members = new ArrayList<>();
         boolean all = true;
         while (all && job.nextTask() >= 0) {
-            all = usage(job).allows(job.spec()) && placeNext(job, round, members);
+            all = usage(job).allows(job.spec()) && placeNext(job, ranking, round, members);
         }
         if (all) {
             placed.addAll(members);
@@ -103,27 +159,24 @@
         }
     }
 
-    private boolean eligible(Job job, Machine machine, double now) {
-        return machine.takesWork(now, timing.quietS()) && machine.suits(job.spec())
-                && !job.hasFailedOn(machine.name()) && job.zoneAllows(machine.zone());
-    }
-
-    /** A holder of the image first, then the quickest fetch; among equals the one with most free room. */
-    private Machine choose(Job job) {
-        double now = fleet.now();
-        Machine best = null;
-        double bestScore = Double.POSITIVE_INFINITY;
+    private List<Machine> open(double now) {
+        List<Machine> open = new ArrayList<>();
         for (Machine machine : fleet.machines()) {
-            if (!machine.hasRoom(job.spec()) || !eligible(job, machine, now)) {
-                continue;
-            }
-            double score = score(job, machine, now);
-            if (score < bestScore) {
-                best = machine;
-                bestScore = score;
+            if (machine.takesWork(now, timing.quietS())) {
+                open.add(machine);
             }
         }
-        return best;
+        return open;
+    }
+
+    private static boolean eligible(Job job, Machine machine) {
+        return machine.suits(job.spec()) && !job.hasFailedOn(machine.name()) && job.zoneAllows(machine.zone());
+    }
+
+    /** A holder of the image first, then the quickest fetch; among equals the one with most free room. */
+    private double placingCost(Job job, Machine machine, double now) {
+        return machine.hasRoom(job.spec()) && eligible(job, machine) ? score(job, machine, now)
+                : Double.POSITIVE_INFINITY;
     }
 
     private double score(Job job, Machine machine, double now) {
@@ -181,57 +234,52 @@
     /** Stops work of lower right where a waiting job finds no place otherwise. */
     void preempt() {
         double now = fleet.now();
+        List<Job> waiting = waiting();
+        waiting.removeIf(job -> now < job.notBefore() || !mayStopAny(job));
+        if (waiting.isEmpty()) {
+            return;
+        }
+        List<Machine> open = open(now);
         Map<Machine, double[]> promised = new HashMap<>();
-        for (Job job : waiting()) {
-            Submission spec = job.spec();
-            if (now < job.notBefore()) {
-                continue;
-            }
-            int wanted = Math.min(job.waiting(), usage(job).roomFor(spec));
+        for (Job job : waiting) {
+            int wanted = Math.min(job.waiting(), usage(job).roomFor(job.spec()));
+            Ranking ranking = new Ranking(open, machine -> eligible(job, machine)
+                    ? victims(job, machine, promised.get(machine), new ArrayList<>(), now) : Double.POSITIVE_INFINITY);
             for (int i = 0; i < wanted; i++) {
-                if (!makeRoom(job, promised, now)) {
+                Machine machine = ranking.best();
+                if (machine == null) {
                     break;
                 }
+                makeRoom(job, machine, promised, now);
             }
         }
     }
 
-    /** Frees room for one task, or finds that enough is being freed already. */
-    private boolean makeRoom(Job job, Map<Machine, double[]> promised, double now) {
-        Machine best = null;
-        List<Attempt> bestVictims = null;
-        double bestCost = Double.POSITIVE_INFINITY;
-        for (Machine machine : fleet.machines()) {
-            if (!eligible(job, machine, now)) {
-                continue;
-            }
-            List<Attempt> victims = new ArrayList<>();
-            double cost = victims(job, machine, promised.getOrDefault(machine, new double[3]), victims, now);
-            if (cost < bestCost) {
-                best = machine;
-                bestCost = cost;
-                bestVictims = victims;
-            }
-        }
-        if (best == null) {
-            return false;
-        }
-        double[] taken = promised.computeIfAbsent(best, m -> new double[3]);
+    /** Whether anything at all may be stopped for a job: most find at a glance that nothing may. */
+    private boolean mayStopAny(Job job) {
+        return fleet.ledger().runsBelow(job.spec().priority())
+                || usage(job).guaranteedFor(job.spec()) && fleet.ledger().otherAboveGuarantee(job.spec().team());
+    }
+
+    /** Frees room for one task, unless enough is being freed already. */
+    private void makeRoom(Job job, Machine machine, Map<Machine, double[]> promised, double now) {
+        List<Attempt> victims = new ArrayList<>();
+        victims(job, machine, promised.get(machine), victims, now);
+        double[] taken = promised.computeIfAbsent(machine, m -> new double[3]);
         taken[0] += job.spec().cpus();
         taken[1] += job.spec().gpus();
         taken[2] += job.spec().memoryGb();
-        for (Attempt victim : bestVictims) {
+        for (Attempt victim : victims) {
             Submission spec = victim.job().spec();
             fleet.stop(victim, spec.checkpoints() ? spec.saveS() + timing.reportS() : 0);
         }
-        return true;
     }
 
     /** Cost of making room on one machine; infinite if it cannot be done. */
     private double victims(Job job, Machine machine, double[] promised, List<Attempt> victims, double now) {
-        double cpus = machine.freeCpus() - promised[0];
-        double gpus = machine.freeGpus() - promised[1];
-        double memory = machine.freeMemory() - promised[2];
+        double cpus = machine.freeCpus() - (promised == null ? 0 : promised[0]);
+        double gpus = machine.freeGpus() - (promised == null ? 0 : promised[1]);
+        double memory = machine.freeMemory() - (promised == null ? 0 : promised[2]);
         List<Attempt> candidates = new ArrayList<>();
         for (Attempt attempt : machine.attempts()) {
             Submission spec = attempt.job().spec();
--- a/src/main/java/org/springmill/control/coordination/Rentals.java
+++ b/src/main/java/org/springmill/control/coordination/Rentals.java
@@ -43,6 +43,7 @@
     private final Map<String, Double> refusedUntil = new HashMap<>();
     private final List<Request> unresolved = new ArrayList<>();
     private final Set<String> returned = new HashSet<>();
+    private final List<Machine> toDelete = new ArrayList<>();
     private final double startedAt;
     private double listedAt = Double.NEGATIVE_INFINITY;
     private int requests;
@@ -53,24 +54,35 @@
         private final MachineType type;
         private final String zone;
         private final boolean spot;
-        private final boolean planned;
+        /** Null for a machine that would be rented. */
+        private final Machine machine;
         private double cpus;
         private double gpus;
         private double memory;
+        private boolean used;
 
-        Bin(MachineType type, String zone, boolean spot, boolean planned, double cpus, double gpus, double memory) {
+        private Bin(MachineType type, String zone, boolean spot, Machine machine, double cpus, double gpus, double memory) {
             this.type = type;
             this.zone = zone;
             this.spot = spot;
-            this.planned = planned;
+            this.machine = machine;
             this.cpus = cpus;
             this.gpus = gpus;
             this.memory = memory;
         }
 
         static Bin of(Machine machine) {
-            return new Bin(machine.type(), machine.zone(), machine.spot(), false, machine.freeCpus(), machine.freeGpus(),
-                    machine.freeMemory());
+            return new Bin(machine.type(), machine.zone(), machine.spot(), machine, machine.freeCpus(),
+                    machine.freeGpus(), machine.freeMemory());
+        }
+
+        static Bin planned(MachineType type, String zone, boolean spot) {
+            return new Bin(type, zone, spot, null, type.cpus(), type.gpus(), type.memoryGb());
+        }
+
+        /** Machines with work on them come first, then those that stand idle, then those that are still booting. */
+        private int rank() {
+            return machine.state() != Machine.State.UP ? 2 : machine.attempts().isEmpty() ? 1 : 0;
         }
 
         boolean take(Submission spec, Map<String, Integer> zones) {
@@ -81,6 +93,7 @@
                 cpus -= spec.cpus();
                 gpus -= spec.gpus();
                 memory -= spec.memoryGb();
+                used = true;
                 zones.merge(zone, 1, Integer::sum);
             }
             return fits;
@@ -259,7 +272,9 @@
                 room.add(Bin.of(machine));
             }
         }
-        room.sort(Comparator.comparingDouble(b -> b.type.price()));
+        room.sort(Comparator.comparingInt(Bin::rank).thenComparingDouble(b -> b.type.price()));
+        Map<String, Integer> machinesIn = new HashMap<>();
+        fleet.machines().forEach(machine -> machinesIn.merge(machine.zone(), 1, Integer::sum));
         for (Job job : placement.waiting()) {
             if (job.machinesFailedOn() > 2) {
                 continue;
@@ -269,16 +284,13 @@
             for (Attempt attempt : job.attempts()) {
                 zones.merge(attempt.machine().zone(), 1, Integer::sum);
             }
-            pack(job.spec(), wanted, zones, room, now);
+            pack(job.spec(), wanted, zones, room, machinesIn, now);
         }
         for (Submission job : demand.urgent(slowestBootS())) {
-            int wanted = demand.expected(job.jobClass(), slowestBootS(), now);
-            for (int i = 0; i < wanted; i++) {
-                pack(job, 1, new HashMap<>(), room, now);
-            }
+            pack(job, demand.expected(job.jobClass(), slowestBootS(), now), null, room, machinesIn, now);
         }
         rent(room);
-        returnIdle(now);
+        returnIdle(room, now);
     }
 
     private double slowestBootS() {
@@ -289,29 +301,36 @@
         return slowest;
     }
 
-    private void pack(Submission spec, int tasks, Map<String, Integer> zones, List<Bin> room, double now) {
-        for (int i = 0; i < tasks; i++) {
-            boolean placed = false;
-            for (Bin bin : room) {
-                if (bin.take(spec, zones)) {
-                    placed = true;
-                    break;
+    /**
+     * Finds room for so many tasks, or plans a machine for them.
+     *
+     * @param zones how many tasks of the same job each zone holds; null if they are of different jobs
+     */
+    private void pack(Submission spec, int tasks, Map<String, Integer> zones, List<Bin> room,
+            Map<String, Integer> machinesIn, double now) {
+        // What has no room for one task has none for the next: each bin is looked at once for all of them.
+        int at = 0;
+        for (int left = tasks; left > 0; ) {
+            Map<String, Integer> taken = zones == null ? new HashMap<>() : zones;
+            if (at < room.size()) {
+                if (room.get(at).take(spec, taken)) {
+                    left--;
+                } else {
+                    at++;
                 }
-            }
-            if (placed) {
                 continue;
             }
-            Bin bin = cheapest(spec, tasks - i, zones, now);
-            if (bin == null || room.size() > 1000) {
+            Bin bin = room.size() > 1000 ? null : cheapest(spec, left, taken, machinesIn, now);
+            if (bin == null) {
                 return;
             }
-            bin.take(spec, zones);
             room.add(bin);
         }
     }
 
     /** The kind of machine that runs so many tasks at the least price. */
-    private Bin cheapest(Submission spec, int tasks, Map<String, Integer> zones, double now) {
+    private Bin cheapest(Submission spec, int tasks, Map<String, Integer> zones, Map<String, Integer> machinesIn,
+            double now) {
         Bin best = null;
         double bestPrice = Double.POSITIVE_INFINITY;
         for (MachineType type : fleet.catalog().all()) {
@@ -328,10 +347,10 @@
                 }
                 for (boolean spot : spec.spot() ? new boolean[] {true, false} : new boolean[] {false}) {
                     double price = (spot ? type.spotPrice() : type.price()) / used
-                            + 1e-3 * zones.getOrDefault(zone, 0) + 1e-4 * machinesIn(zone);
+                            + 1e-3 * zones.getOrDefault(zone, 0) + 1e-4 * machinesIn.getOrDefault(zone, 0);
                     if (price < bestPrice && now >= refusedUntil.getOrDefault(kind(type.name(), zone, spot), 0.0)) {
                         bestPrice = price;
-                        best = new Bin(type, zone, spot, true, type.cpus(), type.gpus(), type.memoryGb());
+                        best = Bin.planned(type, zone, spot);
                     }
                 }
             }
@@ -339,10 +358,6 @@
         return best;
     }
 
-    private long machinesIn(String zone) {
-        return fleet.machines().stream().filter(m -> m.zone().equals(zone)).count();
-    }
-
     private static String kind(String type, String zone, boolean spot) {
         return type + '/' + zone + (spot ? "/spot" : "");
     }
@@ -353,7 +368,7 @@
         }
         Map<String, List<Bin>> kinds = new HashMap<>();
         for (Bin bin : room) {
-            if (bin.planned) {
+            if (bin.machine == null) {
                 kinds.computeIfAbsent(kind(bin.type.name(), bin.zone, bin.spot), k -> new ArrayList<>()).add(bin);
             }
         }
@@ -401,36 +416,19 @@
         }
     }
 
-    /** Gives back machines that stood idle, while what remains still has room for what is to be expected. */
-    private void returnIdle(double now) {
-        for (Machine machine : fleet.machinesNow()) {
-            boolean idle = machine.state() == Machine.State.UP && machine.attempts().isEmpty()
-                    && machine.reported().isEmpty();
-            if (!idle || now - machine.idleSince() < settings.operator().idleBoots() * machine.type().bootS()
-                    || now - machine.firstSeen() < MIN_CHARGE_S || neededAsReserve(machine, now)) {
+    /** Gives back machines that stood idle and of which neither waiting nor expected work needs anything. */
+    private void returnIdle(List<Bin> room, double now) {
+        for (Bin bin : room) {
+            Machine machine = bin.machine;
+            if (machine == null || bin.used || machine.state() != Machine.State.UP || !machine.attempts().isEmpty()
+                    || !machine.reported().isEmpty()) {
                 continue;
             }
-            giveBack(machine, "it is idle");
-        }
-    }
-
-    private boolean neededAsReserve(Machine candidate, double now) {
-        List<Bin> room = new ArrayList<>();
-        for (Machine machine : fleet.machines()) {
-            if (machine != candidate && machine.type() != null && machine.takesWork(now, timing.leaseS())) {
-                room.add(Bin.of(machine));
-            }
-        }
-        for (Submission job : demand.urgent(slowestBootS())) {
-            int wanted = demand.expected(job.jobClass(), slowestBootS(), now);
-            for (int i = 0; i < wanted; i++) {
-                boolean placed = room.stream().anyMatch(bin -> bin.take(job, new HashMap<>()));
-                if (!placed && candidate.suits(job)) {
-                    return true;
-                }
+            if (now - machine.idleSince() >= settings.operator().idleBoots() * machine.type().bootS()
+                    && now - machine.firstSeen() >= MIN_CHARGE_S) {
+                giveBack(machine, "it is idle");
             }
         }
-        return false;
     }
 
     /** Deletes a machine; what it ran is proven gone by the cloud's answer, and by nothing before that. */
@@ -443,21 +441,36 @@
         delete(machine);
     }
 
+    /** Machines fall silent or idle by the dozen, and the cloud takes few calls: one call for all that are due. */
     private void delete(Machine machine) {
+        toDelete.add(machine);
+        if (toDelete.size() == 1) {
+            loop.after(calls.waitFor(1, loop.now()), this::deleteDue);
+        }
+    }
+
+    private void deleteDue() {
         if (closed) {
             return;
         }
-        call("POST", CloudMessages.RETURN, CloudMessages.giveBack(List.of(machine.name())), reply -> {
+        List<Machine> due = new ArrayList<>(toDelete.subList(0, Math.min(toDelete.size(), CloudMessages.MAX_RETURN)));
+        toDelete.removeAll(due);
+        if (!toDelete.isEmpty()) {
+            loop.after(calls.waitFor(2, loop.now()), this::deleteDue);
+        }
+        call("POST", CloudMessages.RETURN, CloudMessages.giveBack(due.stream().map(Machine::name).toList()), reply -> {
             if (closed) {
                 return;
             }
             if (!reply.ok()) {
-                loop.after(listEveryS(), () -> delete(machine));
+                loop.after(listEveryS(), () -> due.forEach(this::delete));
                 return;
             }
-            returned.add(machine.name());
-            gone(machine);
-            machine.transition(Machine.State.GONE);
+            for (Machine machine : due) {
+                returned.add(machine.name());
+                gone(machine);
+                machine.transition(Machine.State.GONE);
+            }
             changed.run();
         });
     }
--- a/src/main/java/org/springmill/control/coordination/Settling.java
+++ b/src/main/java/org/springmill/control/coordination/Settling.java
@@ -53,6 +53,7 @@
             return;
         }
         double now = fleet.now();
+        boolean open = machine.takesWork(now, timing.quietS());
         machine.adoptToken(report.token());
         machine.take(report, now);
         if (machine.state() == Machine.State.EXPECTED || machine.state() == Machine.State.LOST) {
@@ -74,7 +75,10 @@
         if (machine.noticed()) {
             vacate(machine);
         }
-        changed.run();
+        // Hundreds of workers report every few seconds, mostly that nothing has changed: no reason for a round.
+        if (fleet.ledger().hasEnded() || !open && machine.takesWork(now, timing.quietS())) {
+            changed.run();
+        }
     }
 
     private void seen(Machine machine, Attempt attempt, TaskReport task, double now) {
--- a/src/main/java/org/springmill/control/storage/RoundLog.java
+++ b/src/main/java/org/springmill/control/storage/RoundLog.java
@@ -46,6 +46,8 @@
     /** What one claim or end takes at most, roughly; bounds how many go into a round. */
     private static final int ITEM_BYTES = 128;
     private static final int MAX_COMMIT_BYTES = 48 * 1024;
+    /** A leader reads all rounds when it takes over: no more of them than come in one page. */
+    private static final int MAX_ROUNDS = 500;
 
     private final StateStore store;
     private final Loop loop;
@@ -62,6 +64,8 @@
         private final List<String> keys = new ArrayList<>();
         private final Map<String, Claim> claims = new LinkedHashMap<>();
         private final Map<String, BitSet> done = new LinkedHashMap<>();
+        /** Bytes as written; what is still needed of them only shrinks. */
+        private int bytes;
 
         Round(long number) {
             this.number = number;
@@ -124,6 +128,7 @@
                 }
                 Round round = rounds.getLast();
                 round.keys.add(entry.key());
+                round.bytes += (entry.value().path("claims").size() + entry.value().path("ended").size()) * ITEM_BYTES;
                 replay(entry.value(), round);
                 last = number;
             }
@@ -188,6 +193,7 @@
         Set<String> ending = new HashSet<>();
         ends.forEach(end -> ending.add(end.claim().key()));
         List<Round> replaced = compact(packer, round.number, ending);
+        round.bytes = packer.total;
 
         List<Condition> conditions = new ArrayList<>();
         conditions.add(leadership);
@@ -220,10 +226,21 @@
         }, lost);
     }
 
+    private int storedBytes() {
+        return rounds.stream().mapToInt(round -> round.bytes).sum();
+    }
+
+    private int neededBytes() {
+        return rounds.stream().mapToInt(round -> round.claims.size() * ITEM_BYTES).sum();
+    }
+
     /** Carries what is needed of the oldest rounds into the packer and returns those that may then be deleted. */
     private List<Round> compact(Packer packer, long number, Set<String> ending) {
         int allowed = store.limits().writesPerCommit() - packer.values.size() - 2;
-        if (rounds.size() < 2 * store.limits().writesPerCommit()) {
+        // Carrying costs writes: it waits until half of what is stored is no longer needed, so that what is carried
+        // stays in proportion to what is new. A fleet's worth of long-lived claims was rewritten every few rounds.
+        boolean few = rounds.size() < 2 * store.limits().writesPerCommit();
+        if (few || rounds.size() < MAX_ROUNDS && storedBytes() < 2 * neededBytes()) {
             return List.of();
         }
         List<Round> replaced = new ArrayList<>();
