While the leader's record is missing any controller keeps workers' leases

Cause: after a crash of all controllers leases ran out while they elected and rebuilt. A read that finds no record proves every earlier term over; until a new leader's question arrives, answering is safe (docs/design.md).

--- a/src/main/java/org/springmill/control/coordination/Leadership.java
+++ b/src/main/java/org/springmill/control/coordination/Leadership.java
@@ -53,6 +53,8 @@
     private long term;
     private long knownTerm;
     private String knownLeader;
+    /** Revision at which the record was last found missing: every term up to it is over. 0 if it is there. */
+    private long vacantAt;
     private long watchFrom;
     private boolean renewing;
     private boolean informed;
@@ -99,6 +101,15 @@
         return informed;
     }
 
+    /**
+     * Whether the last that was heard of the leader's record is that there is none. Until whoever wins has asked this
+     * controller, and so told it of the new term, workers may be kept by anyone: after a crash of all controllers, the
+     * moments in which they elect and rebuild are those in which leases run out.
+     */
+    boolean vacant() {
+        return vacantAt > 0 && !holdsTerm() && Math.max(knownTerm, peers.highestTerm()) <= vacantAt;
+    }
+
     Condition condition() {
         return new Condition(KEY, term);
     }
@@ -239,6 +250,7 @@
         informed = true;
         if (read.entry() == null) {
             knownLeader = null;
+            vacantAt = read.revision();
             // Having just given the leadership up, this controller stands again only if nobody else does.
             if (loop.now() >= notBefore) {
                 campaign();
@@ -253,6 +265,7 @@
         String node = value.path("node").asText();
         knownTerm = Math.max(knownTerm, entry.version());
         knownLeader = node;
+        vacantAt = 0;
         if (!node.equals(settings.node())) {
             return;
         }
@@ -302,6 +315,7 @@
         term = revision;
         knownTerm = Math.max(knownTerm, revision);
         knownLeader = settings.node();
+        vacantAt = 0;
         transition(State.LEADING);
     }
 
@@ -337,6 +351,7 @@
                 deposed("its record is gone");
             }
             knownLeader = null;
+            vacantAt = change.version();
             if (state == State.FOLLOWING) {
                 store.get(KEY, this::seen);
             }
@@ -344,6 +359,7 @@
             deposed("another controller has taken over");
         } else if (state == State.FOLLOWING && change.version() > knownTerm) {
             knownTerm = change.version();
+            vacantAt = 0;
             knownLeader = change.value().path("node").asText();
         }
     }
--- a/src/main/java/org/springmill/control/coordination/StandIn.java
+++ b/src/main/java/org/springmill/control/coordination/StandIn.java
@@ -30,7 +30,8 @@
 
     /** @param holdsTerm whether this controller was elected and has not yet learned of a later term */
     boolean keeps(Report report, boolean holdsTerm) {
-        boolean keeps = !store.reachable() && (!holdsTerm && onTheWordOfOthers() || alone() && unclaimed(report));
+        boolean keeps = leadership.vacant()
+                || !store.reachable() && (!holdsTerm && onTheWordOfOthers() || alone() && unclaimed(report));
         if (keeps) {
             peers.stoodIn();
         }
--- a/src/main/java/org/springmill/control/storage/StateStore.java
+++ b/src/main/java/org/springmill/control/storage/StateStore.java
@@ -67,8 +67,8 @@
     /** How a renewal ended. */
     public enum Renewal { RENEWED, ENDED, UNKNOWN }
 
-    /** A read: served or not, and if served the entry or its absence. */
-    public record ReadResult(boolean served, Entry entry) {
+    /** A read: served or not, and if served the entry, or its absence at a revision. */
+    public record ReadResult(boolean served, Entry entry, long revision) {
     }
 
     public StateStore(HttpClient http, Loop loop, Settings settings, double timeoutS) {
@@ -113,9 +113,11 @@
     public void get(String key, Consumer<ReadResult> done) {
         now("GET", StateMessages.keyPath(key), EMPTY, timeoutS, reply -> {
             if (reply.ok()) {
-                done.accept(new ReadResult(true, parse(reply, StateMessages::entry)));
+                Entry entry = parse(reply, StateMessages::entry);
+                done.accept(new ReadResult(entry != null, entry, 0));
             } else {
-                done.accept(new ReadResult(reply.status() == 404, null));
+                Long revision = reply.status() == 404 ? parse(reply, StateMessages::revision) : null;
+                done.accept(new ReadResult(revision != null, null, revision == null ? 0 : revision));
             }
         });
     }
--- a/src/test/java/org/springmill/control/coordination/FailureTest.java
+++ b/src/test/java/org/springmill/control/coordination/FailureTest.java
@@ -446,6 +446,28 @@
         assertEquals(0, world.running(JOB));
     }
 
+    @Test
+    void workersAreKeptWhileAllControllersAreBackAndNoneLeadsYet() {
+        world.submit(0, World.job(JOB, "red", "service", 4, 1, 1), Double.POSITIVE_INFINITY);
+        world.run(8);
+        for (int i = 0; i < 3; i++) {
+            world.kill(i);
+        }
+        world.run(9);
+        boolean[] undecided = {true};
+        world.network().judge((from, request) -> undecided[0] && request.path().equals("/commit") ? Fate.REFUSE : Fate.DELIVER);
+        for (int i = 0; i < 3; i++) {
+            world.restart(i);
+        }
+        world.run(10);
+        undecided[0] = false;
+        world.run(15);
+        for (int i = 0; i < 4; i++) {
+            assertEquals(1, world.starts(JOB + "/" + i), "task " + i);
+        }
+        assertEquals(4, world.running(JOB));
+    }
+
     @Test
     void aControllerWithOnlyItsWorkersGivesThemUpToTheNextLeader() {
         world.submit(0, World.job(JOB, "red", "service", 4, 1, 1), Double.POSITIVE_INFINITY);
