Takeovers cost less: classes of a leader's life archived, probes paced, less logged

Cause: after a restart a controller read its classes from the jar and verified them at the moment it took over, and asked all machines at once, while workers' leases ran out. The build now rehearses a few seconds of leading and makes a static archive; 16 probes at a time; machines coming up are logged at debug.

--- a/src/main/java/org/springmill/cli/RehearseCommand.java
+++ b/src/main/java/org/springmill/cli/RehearseCommand.java
@@ -1,53 +1,126 @@
 package org.springmill.cli;
 
+import java.io.IOException;
 import java.nio.file.Files;
 import java.nio.file.Path;
+import java.util.List;
 import java.util.concurrent.Callable;
+import org.springmill.protocol.BadMessageException;
+import org.springmill.protocol.RehearsalMessages;
+import org.springmill.protocol.RehearsalMessages.Answer;
 import org.springmill.protocol.SettingsFile;
+import org.springmill.protocol.UserMessages;
+import org.springmill.protocol.WorkerMessages;
+import org.springmill.transport.HttpClient.Request;
+import org.springmill.transport.HttpHandler;
+import org.springmill.transport.Transport;
 import picocli.CommandLine.Command;
 
-/** Starts a controller on loopback with nothing to talk to, for the build to record which classes a start needs. */
+/**
+ * Plays a few seconds of a controller's life on loopback, for the build to record which classes it needs. A process that
+ * is started again has little processor time and leases that run out: what is not recorded it would have to read from
+ * the jar and verify at the very moment at which it takes over.
+ */
 @Command(name = "rehearse", hidden = true)
 final class RehearseCommand implements Callable<Integer> {
     private static final String SETTINGS = """
             node = "rehearsal"
             site = "here"
-            api_addr = "127.0.0.1:0"
+            api_addr = "127.0.0.1:%d"
             peer_bind = "127.0.0.1:0"
             [services]
-            cloud = "127.0.0.1:1"
-            state = "127.0.0.1:1"
+            cloud = "%2$s"
+            state = "%2$s"
+            [[seeds]]
+            node = "other"
+            site = "here"
+            addr = "127.0.0.1:1"
             [cluster]
             zones = ["here"]
             skew_ms = 1.0
+            [[cluster.teams]]
+            name = "t"
+            cpus = 4.0
+            cpus_max = 8.0
+            gpus = 0.0
+            gpus_max = 0.0
+            [[cluster.objectives]]
+            kind = "wait"
+            class = "c"
+            within_s = 0.5
+            share = 0.9
             [cluster.workers]
-            report_s = 1.0
-            lease_s = 5.0
+            report_s = 0.4
+            lease_s = 4.0
             cancel_s = 20.0
             [cluster.state]
-            rps = 10.0
-            write_rps = 10.0
+            rps = 100.0
+            write_rps = 50.0
             value_kb = 8.0
             txn_ops = 8
             [cluster.cloud]
-            rps = 1.0
-            list_lag_s = 1.0
+            rps = 10.0
+            list_lag_s = 0.1
             [cluster.machine_limits]
             cpu_share = 0.1
             ram_mb = 100.0
             max_sockets = 100
             """;
+    private static final double STEP_S = 0.15;
+    private static final int STEPS = 24;
+
+    private RehearsalMessages world;
 
     @Override
     public Integer call() throws Exception {
         Path file = Files.createTempFile("rehearsal", ".toml");
+        Transport around = new Transport(100);
         try {
-            Files.writeString(file, SETTINGS);
+            int port = around.serve("127.0.0.1:0", this::play);
+            world = new RehearsalMessages("127.0.0.1:" + port);
+            int api = freePort();
+            Files.writeString(file, SETTINGS.formatted(api, "127.0.0.1:" + port));
             RunCommand.start(SettingsFile.read(file, null));
-            Thread.sleep(1500);
+            visit(around, "127.0.0.1:" + api, 0);
+            Thread.sleep((long) ((STEPS + 2) * STEP_S * 1000));
         } finally {
             Files.delete(file);
         }
         return 0;
     }
+
+    private static int freePort() throws IOException {
+        try (java.net.ServerSocket socket = new java.net.ServerSocket(0)) {
+            return socket.getLocalPort();
+        }
+    }
+
+    private void play(HttpHandler.Call call) {
+        try {
+            Answer answer = world.answer(call.method(), call.path(), call.body());
+            call.reply(answer.status(), answer.body(), 0);
+        } catch (BadMessageException e) {
+            call.reply(400, new byte[0], 0);
+        }
+    }
+
+    /** One user and one worker, taking turns. */
+    private void visit(Transport around, String api, int step) {
+        List<Request> visits = List.of(
+                post(api, WorkerMessages.REPORT, world.report()),
+                post(api, UserMessages.SUBMISSIONS, RehearsalMessages.submission("run-000001", true)),
+                new Request(api, "GET", UserMessages.READY, new byte[0], 1),
+                new Request(api, "GET", UserMessages.SUBMISSIONS + "/run-000001", new byte[0], 1),
+                post(api, UserMessages.SUBMISSIONS, RehearsalMessages.submission("run-000002", false)),
+                post(api, UserMessages.SUBMISSIONS + "/run-000001" + UserMessages.WITHDRAW, new byte[0]));
+        around.client().send(visits.get(step / 3 % visits.size()), reply -> { });
+        around.client().send(visits.get(0), reply -> { });
+        if (step < STEPS) {
+            around.loop().after(STEP_S, () -> visit(around, api, step + 1));
+        }
+    }
+
+    private static Request post(String api, String path, byte[] body) {
+        return new Request(api, "POST", path, body, 1);
+    }
 }
--- a/src/main/java/org/springmill/control/coordination/Controller.java
+++ b/src/main/java/org/springmill/control/coordination/Controller.java
@@ -88,9 +88,10 @@
     public void start() {
         LOG.info("controller {} in {} starts", settings.node(), settings.zone());
         peers.start();
+        // First who leads, for workers wait for that; reading all jobs takes longer.
+        leadership.start();
         catalog.start();
         directory.start();
-        leadership.start();
     }
 
     @Override
--- a/src/main/java/org/springmill/control/coordination/Machine.java
+++ b/src/main/java/org/springmill/control/coordination/Machine.java
@@ -9,6 +9,7 @@
 import java.util.Set;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
+import org.slf4j.event.Level;
 import org.springmill.protocol.CloudMessages.MachineType;
 import org.springmill.protocol.Submission;
 import org.springmill.protocol.WorkerMessages.Report;
@@ -103,8 +104,9 @@
             LOG.error("machine {} cannot go from {} to {}", name, state, next);
             return;
         }
-        LOG.info("machine {} ({} {}{}): {} -> {}", name, type == null ? "?" : type.name(), zone, spot ? " spot" : "",
-                state, next);
+        // After a takeover all machines come up at once, when there is least time to spare for telling of it.
+        LOG.atLevel(next == State.UP ? Level.DEBUG : Level.INFO).log("machine {} ({} {}{}): {} -> {}", name,
+                type == null ? "?" : type.name(), zone, spot ? " spot" : "", state, next);
         state = next;
     }
 
--- a/src/main/java/org/springmill/control/coordination/Orders.java
+++ b/src/main/java/org/springmill/control/coordination/Orders.java
@@ -23,6 +23,12 @@
 final class Orders {
     private static final Logger LOG = LoggerFactory.getLogger(Orders.class);
 
+    /**
+     * So many requests that carry no command may be on the way at once. A new leader asks all machines; asking hundreds
+     * in one go kept it from answering the reports that they sent by themselves, until their leases ran out.
+     */
+    private static final int MAX_PROBES = 16;
+
     /** Takes what a worker says of itself. */
     interface ReportTaker {
         void accept(Machine machine, Report report);
@@ -32,6 +38,7 @@
     private final HttpClient http;
     private final Timing timing;
     private final ReportTaker reports;
+    private int probes;
     private boolean closed;
 
     Orders(Fleet fleet, HttpClient http, Timing timing, ReportTaker reports) {
@@ -57,17 +64,22 @@
             return;
         }
         List<Command> due = machine.session() == 0 ? List.of() : due(machine);
-        if (due.isEmpty() && !machine.askAgain) {
+        if (due.isEmpty() && (!machine.askAgain || probes >= MAX_PROBES)) {
             return;
         }
         machine.askAgain = false;
         machine.ordersInFlight = true;
+        boolean probe = due.isEmpty();
+        probes += probe ? 1 : 0;
         // A worker that has not reported yet is most likely in its first session; if not, its refusal tells.
         long session = Math.max(1, machine.session());
         byte[] body = WorkerMessages.orders(machine.token(), session, due);
         LOG.debug("{} <- {} token {}", machine.name(), due, machine.token());
         http.send(new HttpClient.Request(machine.address(), "POST", WorkerMessages.ORDERS, body, timing.orderTimeoutS()),
-                reply -> answered(machine, reply));
+                reply -> {
+                    probes -= probe ? 1 : 0;
+                    answered(machine, reply);
+                });
     }
 
     private void answered(Machine machine, Reply reply) {
--- a/src/main/java/org/springmill/control/coordination/Settling.java
+++ b/src/main/java/org/springmill/control/coordination/Settling.java
@@ -151,8 +151,8 @@
     }
 
     /** When the last lease that anyone may have granted to a machine's worker has run out. */
-    double leaseGoneAt(Machine machine) {
-        double renewed = Math.max(machine.lastAnswered(), peers.othersMayRenewUntil());
+    private double leaseGoneAt(Machine machine, double othersUntil) {
+        double renewed = Math.max(machine.lastAnswered(), othersUntil);
         // Until the worker has seen this term's token it may obey an earlier leader, whose last answer is not known
         // here: a worker that showed the token and then fell silent has its full lease from then on.
         // Without that, an earlier leader may go on as long as most controllers bear it out: until most know this term.
@@ -166,11 +166,12 @@
         if (acknowledged == Double.POSITIVE_INFINITY && peers.mostKnow(fleet.term())) {
             acknowledged = now;
         }
+        double othersUntil = peers.othersMayRenewUntil();
         for (Machine machine : fleet.machinesNow()) {
             if (machine.state() == Machine.State.GONE) {
                 continue;
             }
-            boolean expired = now > leaseGoneAt(machine);
+            boolean expired = now > leaseGoneAt(machine, othersUntil);
             for (Attempt attempt : machine.attemptsNow()) {
                 if (expired) {
                     if (attempt.state() != Attempt.State.CLAIMING) {
