Followers help a new leader: they keep the workers that come to them for a quarter lease

Cause: at a takeover all workers were sent on to one cold controller, and leases ran out in its queue. The followers say in their answers until when they help, and the leader counts on no silence before.

--- a/src/main/java/org/springmill/control/coordination/Peers.java
+++ b/src/main/java/org/springmill/control/coordination/Peers.java
@@ -31,6 +31,7 @@
     private double lastWitness;
     private double lastLeaderHeard;
     private double lastHeard;
+    private double helpsUntil = Double.NEGATIVE_INFINITY;
     private long question;
     private long highestTerm;
 
@@ -85,7 +86,10 @@
         try {
             PeerRecord message = PeerMessages.decode(bytes);
             if (message instanceof Status status && settings.peers().containsKey(status.from())) {
-                highestTerm = Math.max(highestTerm, status.term());
+                if (status.term() > highestTerm) {
+                    highestTerm = status.term();
+                    helpsUntil = loop.now() + timing.helpS();
+                }
                 lastHeard = loop.now();
                 if (status.leading()) {
                     lastLeaderHeard = loop.now();
@@ -135,7 +139,8 @@
     /** What is said never falls behind what was heard: an answer that names a term is a promise to know it from then on. */
     private Status numbered(Status status, long number, long echo) {
         return new Status(settings.node(), number, echo, status.stateReachable(), status.leading(), status.informed(),
-                status.workers(), leaderSilent(), (int) Math.min(Integer.MAX_VALUE, (loop.now() - lastWitness) * 1000),
+                status.workers(), leaderSilent(),
+                (int) Math.min(Integer.MAX_VALUE, (loop.now() - Math.max(lastWitness, helpsUntil)) * 1000),
                 Math.max(highestTerm, status.term()));
     }
 
@@ -185,6 +190,14 @@
         lastWitness = loop.now();
     }
 
+    /**
+     * Whether a new term was heard of so lately that this controller still helps its leader: it keeps the workers that
+     * come to it, rather than send them all on to one controller that has just begun. It says until when in its answers.
+     */
+    boolean helps() {
+        return loop.now() < helpsUntil;
+    }
+
     private boolean confirms(String node, long term, boolean hasToBeInformed) {
         Word word = words.get(node);
         return recent(word) && !word.status().stateReachable() && word.status().term() <= term
@@ -229,7 +242,9 @@
         }
         double latest = lastWitness;
         for (Word word : words.values()) {
-            latest = Math.max(latest, word.receivedAt() - word.status().witnessAgoMs() / 1000.0 * 0.998);
+            double ago = word.status().witnessAgoMs() / 1000.0;
+            // Its clock may run at another pace, and a time still to come counts as longer rather than shorter.
+            latest = Math.max(latest, word.receivedAt() - ago + Math.abs(ago) * 0.002);
         }
         return latest + timing.wordS();
     }
--- a/src/main/java/org/springmill/control/coordination/StandIn.java
+++ b/src/main/java/org/springmill/control/coordination/StandIn.java
@@ -30,7 +30,7 @@
 
     /** @param holdsTerm whether this controller was elected and has not yet learned of a later term */
     boolean keeps(Report report, boolean holdsTerm) {
-        boolean keeps = leadership.vacant()
+        boolean keeps = leadership.vacant() || !holdsTerm && peers.helps()
                 || !store.reachable() && (!holdsTerm && onTheWordOfOthers() || alone() && unclaimed(report));
         if (keeps) {
             peers.stoodIn();
--- a/src/main/java/org/springmill/control/coordination/Timing.java
+++ b/src/main/java/org/springmill/control/coordination/Timing.java
@@ -35,6 +35,11 @@
         return 2 * confirmS;
     }
 
+    /** How long other controllers keep the workers that come to them after a new leader was heard of. */
+    double helpS() {
+        return leaseS / 4;
+    }
+
     /** How long after a peer's word someone may still act on it. */
     double wordS() {
         return confirmS * DRIFT;
--- a/src/main/java/org/springmill/protocol/PeerMessages.java
+++ b/src/main/java/org/springmill/protocol/PeerMessages.java
@@ -32,7 +32,8 @@
      * @param informed whether it has read the leader's record since it was started, so that its term means something
      * @param workers how many workers lately came to it with reports although it does not lead
      * @param leaderSilent whether it has not heard from a leading controller for some time
-     * @param witnessAgoMs how long ago it last bore witness of an outage, or answered a worker on such witness
+     * @param witnessAgoMs how long ago it last bore witness of an outage, or answered a worker although it does not
+     *     lead; negative while it may go on answering them for so long
      * @param term the highest leadership term it knows of
      */
     public record Status(String from, long question, long echo, boolean stateReachable, boolean leading,
--- /dev/null
+++ b/src/test/java/org/springmill/control/coordination/PeersTest.java
@@ -0,0 +1,89 @@
+package org.springmill.control.coordination;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
+import org.springmill.protocol.OperatorSettings;
+import org.springmill.protocol.PeerMessages;
+import org.springmill.protocol.PeerMessages.Status;
+import org.springmill.protocol.Settings;
+import org.springmill.sim.VirtualClock;
+import org.springmill.transport.Loop;
+import org.springmill.transport.PeerLink;
+
+class PeersTest {
+    private static final double LEASE_S = 14;
+
+    private final VirtualClock clock = new VirtualClock();
+    private final List<Status> sent = new ArrayList<>();
+    private PeerLink.Listener listener;
+
+    private Peers peers(boolean leading, long term) throws Exception {
+        Settings settings = new Settings("n-0", "a", "x:1", "x:2", Map.of("n-1", "x:3"), "c:1", "s:1", List.of("a"), 1,
+                List.of(), List.of(), new Settings.Workers(2, LEASE_S, 44), new Settings.State(120, 20, 8192, 12),
+                new Settings.Cloud(4, 3), new Settings.Limits(0.2, 176, 700), OperatorSettings.DEFAULTS);
+        PeerLink link = new PeerLink() {
+            @Override
+            public void send(String node, byte[] record) {
+                try {
+                    sent.add((Status) PeerMessages.decode(record));
+                } catch (Exception e) {
+                    throw new AssertionError(e);
+                }
+            }
+
+            @Override
+            public void onRecord(Listener taker) {
+                listener = taker;
+            }
+        };
+        Loop loop = new Loop() {
+            @Override
+            public double now() {
+                return clock.now();
+            }
+
+            @Override
+            public Timer after(double seconds, Runnable task) {
+                return clock.after(seconds, task);
+            }
+        };
+        Peers peers = new Peers(link, loop, settings, Timing.of(settings),
+                () -> new Status("n-0", 0, 0, true, leading, true, 0, false, 0, term));
+        peers.start();
+        return peers;
+    }
+
+    private void hear(Status status) {
+        listener.received(PeerMessages.encode(status));
+    }
+
+    /** A follower that helps says until when, and the leader counts on no silence before that and a word's life. */
+    @ParameterizedTest
+    @CsvSource({"0.0, true", "1.0, true", "3.0, true", "4.0, false", "30.0, false"})
+    void aFollowerHelpsANewLeaderForAWhileAndTellsItUntilWhen(double afterS, boolean helps) throws Exception {
+        Peers follower = peers(false, 0);
+        clock.run(60);
+        hear(new Status("n-1", 1, 0, true, true, true, 0, false, 60_000, 7));
+        clock.run(afterS);
+        assertEquals(helps, follower.helps());
+        sent.clear();
+        hear(new Status("n-1", 2, 0, true, true, true, 0, false, 60_000, 7));
+        int told = sent.get(sent.size() - 1).witnessAgoMs();
+        assertEquals(helps, told < 0);
+
+        Peers leader = peers(true, 7);
+        clock.run(60);
+        Status asked = sent.get(sent.size() - 1);
+        hear(new Status("n-1", 0, asked.question(), true, false, true, 0, false, told, 7));
+        double until = leader.othersMayRenewUntil() - clock.now();
+        assertTrue(until >= -told / 1000.0 + LEASE_S / 10, "counts on silence after " + until);
+        clock.run(LEASE_S / 5);
+        assertEquals(Double.POSITIVE_INFINITY, leader.othersMayRenewUntil(), "an old word is none");
+    }
+}
