Guarantees are given from excess only, and not for work of lower priority

What is being stopped already was not counted either. Job records are read in small pages, between which workers are answered.

--- a/src/main/java/org/springmill/control/coordination/Attempt.java
+++ b/src/main/java/org/springmill/control/coordination/Attempt.java
@@ -56,6 +56,7 @@
     private double runningSince;
     private double graceS;
     private boolean moving;
+    private boolean leaving;
 
     Attempt(Claim claim, Job job, Machine machine, double now) {
         this.claim = claim;
@@ -154,6 +155,13 @@
         nextSend = 0;
     }
 
+    /** Notes whether its team's usage counts it as leaving; true if that is a change. */
+    boolean markLeaving(boolean now) {
+        boolean change = leaving != now;
+        leaving = now;
+        return change;
+    }
+
     /** Stopped to run elsewhere, so that it should not be stopped for anything else again. */
     boolean moving() {
         return moving;
--- a/src/main/java/org/springmill/control/coordination/Fleet.java
+++ b/src/main/java/org/springmill/control/coordination/Fleet.java
@@ -95,6 +95,7 @@
         if (!attempt.end(cause, now())) {
             return;
         }
+        ledger.noteLeaving(attempt);
         ledger.noteEnded(attempt);
         if (attempt.job().spec().gang() && cause != Cause.DONE) {
             // A gang without one of its members gets nowhere: the others stop too, and all are claimed anew together.
@@ -108,6 +109,7 @@
             case CLAIMED -> end(attempt, Cause.STOPPED);
             case SENT, FETCHING, RUNNING, UNKNOWN -> {
                 attempt.transition(Attempt.State.STOPPING, now());
+                ledger.noteLeaving(attempt);
                 attempt.grace(graceS);
             }
             case STOPPING -> {
--- a/src/main/java/org/springmill/control/coordination/Ledger.java
+++ b/src/main/java/org/springmill/control/coordination/Ledger.java
@@ -27,6 +27,8 @@
         private double gpus;
         private double heldCpus;
         private double heldGpus;
+        private double leavingCpus;
+        private double leavingGpus;
 
         Usage(Settings.Team team) {
             this.team = team;
@@ -56,12 +58,31 @@
 
         /** Whether the team runs above its guarantee, so that it may have to give something back. */
         boolean aboveGuarantee() {
-            return !team.withinGuarantee(cpus, gpus);
+            return exceedsGuaranteeWithout(0, 0);
+        }
+
+        /** Whether it would still have all of its guarantee if so much more of what it runs were stopped. */
+        boolean exceedsGuaranteeWithout(double lessCpus, double lessGpus) {
+            return team.cpus() > 0 && cpus - leavingCpus - lessCpus > team.cpus() - 1e-6
+                    || team.gpus() > 0 && gpus - leavingGpus - lessGpus > team.gpus() - 1e-6;
+        }
+
+        private void leaving(Submission spec, int sign) {
+            leavingCpus += sign * spec.cpus();
+            leavingGpus += sign * spec.gpus();
         }
 
         int roomFor(Submission spec) {
-            double byCpus = team.cpusMax() == 0 || spec.cpus() == 0 ? 1e9 : (team.cpusMax() - cpus + 1e-6) / spec.cpus();
-            double byGpus = team.gpusMax() == 0 || spec.gpus() == 0 ? 1e9 : (team.gpusMax() - gpus + 1e-6) / spec.gpus();
+            return room(spec, team.cpusMax(), team.gpusMax());
+        }
+
+        int guaranteedRoomFor(Submission spec) {
+            return room(spec, team.cpus(), team.gpus());
+        }
+
+        private int room(Submission spec, double cpuBound, double gpuBound) {
+            double byCpus = cpuBound == 0 || spec.cpus() == 0 ? 1e9 : (cpuBound - cpus + 1e-6) / spec.cpus();
+            double byGpus = gpuBound == 0 || spec.gpus() == 0 ? 1e9 : (gpuBound - gpus + 1e-6) / spec.gpus();
             return (int) Math.max(0, Math.floor(Math.min(byCpus, byGpus)));
         }
     }
@@ -104,6 +125,16 @@
         attempt.job().remove(attempt);
         attempt.machine().remove(attempt, now);
         charge(attempt, -1);
+        if (attempt.markLeaving(false)) {
+            usage(attempt.job().spec().team()).leaving(attempt.job().spec(), -1);
+        }
+    }
+
+    /** Notes that an attempt was told to stop: it still counts, but gives nothing more back. */
+    void noteLeaving(Attempt attempt) {
+        if (attempt.markLeaving(true)) {
+            usage(attempt.job().spec().team()).leaving(attempt.job().spec(), 1);
+        }
     }
 
     private void charge(Attempt attempt, int sign) {
--- a/src/main/java/org/springmill/control/coordination/Placement.java
+++ b/src/main/java/org/springmill/control/coordination/Placement.java
@@ -7,12 +7,16 @@
 import java.util.Map;
 import java.util.PriorityQueue;
 import java.util.function.ToDoubleFunction;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
 import org.springmill.control.storage.Claim;
 import org.springmill.protocol.Submission;
 import org.springmill.protocol.TaskId;
 
 /** Chooses machines for waiting tasks, and what to stop for those that find none. */
 final class Placement {
+    private static final Logger LOG = LoggerFactory.getLogger(Placement.class);
+
     /** So much longer a fetch may take for work that can run on a spot machine to be kept off an ordinary one. */
     private static final double ORDINARY_S = 5;
 
@@ -243,14 +247,17 @@
         Map<Machine, double[]> promised = new HashMap<>();
         for (Job job : waiting) {
             int wanted = Math.min(job.waiting(), usage(job).roomFor(job.spec()));
+            int guaranteed = usage(job).guaranteedRoomFor(job.spec());
+            int[] made = new int[1];
             Ranking ranking = new Ranking(open, machine -> eligible(job, machine)
-                    ? victims(job, machine, promised.get(machine), new ArrayList<>(), now) : Double.POSITIVE_INFINITY);
-            for (int i = 0; i < wanted; i++) {
+                    ? victims(job, made[0] < guaranteed, machine, promised.get(machine), new ArrayList<>(), now)
+                    : Double.POSITIVE_INFINITY);
+            for (; made[0] < wanted; made[0]++) {
                 Machine machine = ranking.best();
                 if (machine == null) {
                     break;
                 }
-                makeRoom(job, machine, promised, now);
+                makeRoom(job, made[0] < guaranteed, machine, promised, now);
             }
         }
     }
@@ -262,21 +269,24 @@
     }
 
     /** Frees room for one task, unless enough is being freed already. */
-    private void makeRoom(Job job, Machine machine, Map<Machine, double[]> promised, double now) {
+    private void makeRoom(Job job, boolean guaranteed, Machine machine, Map<Machine, double[]> promised, double now) {
         List<Attempt> victims = new ArrayList<>();
-        victims(job, machine, promised.get(machine), victims, now);
+        victims(job, guaranteed, machine, promised.get(machine), victims, now);
         double[] taken = promised.computeIfAbsent(machine, m -> new double[3]);
         taken[0] += job.spec().cpus();
         taken[1] += job.spec().gpus();
         taken[2] += job.spec().memoryGb();
         for (Attempt victim : victims) {
             Submission spec = victim.job().spec();
+            LOG.debug("{} of {} gives way to {} of {} on {}", victim.claim().task(), spec.team(), job.id(),
+                    job.spec().team(), machine.name());
             fleet.stop(victim, spec.checkpoints() ? spec.saveS() + timing.reportS() : 0);
         }
     }
 
     /** Cost of making room on one machine; infinite if it cannot be done. */
-    private double victims(Job job, Machine machine, double[] promised, List<Attempt> victims, double now) {
+    private double victims(Job job, boolean guaranteed, Machine machine, double[] promised, List<Attempt> victims,
+            double now) {
         double cpus = machine.freeCpus() - (promised == null ? 0 : promised[0]);
         double gpus = machine.freeGpus() - (promised == null ? 0 : promised[1]);
         double memory = machine.freeMemory() - (promised == null ? 0 : promised[2]);
@@ -287,7 +297,7 @@
                 cpus += spec.cpus();
                 gpus += spec.gpus();
                 memory += spec.memoryGb();
-            } else if (attempt.state() != Attempt.State.CLAIMING && mayStop(attempt, job)) {
+            } else if (attempt.state() != Attempt.State.CLAIMING) {
                 candidates.add(attempt);
             }
         }
@@ -298,6 +308,9 @@
             if (fits(job.spec(), cpus, gpus, memory)) {
                 break;
             }
+            if (!mayStop(victim, job, guaranteed, victims)) {
+                continue;
+            }
             Submission spec = victim.job().spec();
             cpus += spec.cpus();
             gpus += spec.gpus();
@@ -318,13 +331,28 @@
         return spec.checkpoints() ? Math.min(ran, spec.saveS()) : ran;
     }
 
-    /** The protocol's grounds for stopping one job's task for another's. */
-    private boolean mayStop(Attempt victim, Job job) {
+    /**
+     * The protocol's grounds for stopping one job's task for another's. For a guarantee only what a team runs in excess
+     * of its own is stopped, counting what is being stopped already, and nothing of a higher priority: else the team
+     * that gave way was itself owed its guarantee, or stood first in line again, and the two stopped each other's
+     * tasks several times a second.
+     */
+    private boolean mayStop(Attempt victim, Job job, boolean guaranteed, List<Attempt> before) {
         Submission loser = victim.job().spec();
         if (job.spec().priority().above(loser.priority())) {
             return true;
         }
-        return !loser.team().equals(job.spec().team()) && usage(victim.job()).aboveGuarantee()
-                && usage(job).guaranteedFor(job.spec());
+        if (!guaranteed || loser.team().equals(job.spec().team()) || loser.priority().above(job.spec().priority())) {
+            return false;
+        }
+        double cpus = loser.cpus();
+        double gpus = loser.gpus();
+        for (Attempt other : before) {
+            if (other.job().spec().team().equals(loser.team())) {
+                cpus += other.job().spec().cpus();
+                gpus += other.job().spec().gpus();
+            }
+        }
+        return usage(victim.job()).exceedsGuaranteeWithout(cpus, gpus);
     }
 }
--- a/src/main/java/org/springmill/control/coordination/Settling.java
+++ b/src/main/java/org/springmill/control/coordination/Settling.java
@@ -105,6 +105,7 @@
             case SAVING -> {
                 if (attempt.state() == Attempt.State.UNKNOWN) {
                     attempt.transition(Attempt.State.STOPPING, now);
+                    fleet.ledger().noteLeaving(attempt);
                 }
             }
             case EXITED -> exited(machine, attempt, task.cause(), now);
--- a/src/main/java/org/springmill/protocol/StateMessages.java
+++ b/src/main/java/org/springmill/protocol/StateMessages.java
@@ -45,8 +45,11 @@
         return "/store/" + key;
     }
 
+    /** Small pages: reading one must not keep a controller that has just started from answering workers. */
+    private static final int PAGE = 100;
+
     public static String listPath(String prefix, String after) {
-        return "/store?under=" + prefix + (after == null ? "" : "&from=" + after) + "&limit=1000";
+        return "/store?under=" + prefix + (after == null ? "" : "&from=" + after) + "&limit=" + PAGE;
     }
 
     public static String changesPath(String prefix, long from, long waitMs) {
--- a/src/test/java/org/springmill/control/coordination/FailureTest.java
+++ b/src/test/java/org/springmill/control/coordination/FailureTest.java
@@ -659,6 +659,29 @@
         assertEquals(2, world.running("run-000002"));
     }
 
+    /** "red" and "blue" are both guaranteed 8 of the 32 GPUs here. */
+    @ParameterizedTest
+    @CsvSource({
+        // What exceeds blue's guarantee makes way for red's, and nothing of it is stopped again.
+        "normal, normal, 8, 24",
+        // Not for work of a lower priority.
+        "normal, best_effort, 0, 32",
+    })
+    void aGuaranteeIsGivenOnceAndFromExcessOnly(String running, String claiming, int claimed, int left) {
+        world.cloud().runOut();
+        var first = World.job(JOB, "blue", "service", 32, 1, 1);
+        world.submit(0, first.put("urgency", running), Double.POSITIVE_INFINITY);
+        world.run(8);
+        var second = World.job("run-000002", "red", "service", 12, 1, 1);
+        world.submit(0, second.put("urgency", claiming), Double.POSITIVE_INFINITY);
+        world.run(30);
+        assertEquals(claimed, world.running("run-000002"));
+        assertEquals(left, world.running(JOB));
+        for (int i = 0; i < 32; i++) {
+            assertEquals(1, world.starts(JOB + "/" + i), "task " + i);
+        }
+    }
+
     @Test
     void aNoticedMachineIsLeftInTime() {
         world.submit(0, World.job(JOB, "red", "service", 1, 1, 1), Double.POSITIVE_INFINITY);
