A fleet's backlog is not its rate; mostly free machines are drained

Arrivals of a term's first seconds were taken for a rate (a reserve for as much again), and machines with a few replicas were never emptied. Expected work is now packed on the fullest machines, and what finds room in the same zone on holders of its image moves off a machine that is more than half free, one machine at a time.

--- a/src/main/java/org/springmill/control/coordination/Demand.java
+++ b/src/main/java/org/springmill/control/coordination/Demand.java
@@ -32,7 +32,9 @@
     /** @param counted whether the job arrived just now, rather than being read back from storage */
     void arrived(Submission job, double now, boolean counted) {
         latest.put(job.jobClass(), job);
-        if (counted) {
+        // What comes in the first moments of a term has mostly been waiting for it and says nothing of the rate: at the
+        // start of a fleet it had machines rented for as much again, which then never stood empty.
+        if (counted && now - startedAt > settings.workers().leaseS() / 2) {
             Deque<Double> times = arrivals.computeIfAbsent(job.jobClass(), c -> new ArrayDeque<>());
             for (int i = 0; i < Math.min(job.tasks(), 100); i++) {
                 times.add(now);
@@ -72,7 +74,7 @@
         while (!times.isEmpty() && times.peek() < now - windowS) {
             times.poll();
         }
-        double over = Math.max(bootS, Math.min(windowS, now - startedAt));
+        double over = Math.max(bootS, Math.min(windowS, now - startedAt - settings.workers().leaseS() / 2));
         double mean = times.size() / over * bootS;
         return (int) Math.ceil((mean + Math.sqrt(mean)) * settings.operator().reserve());
     }
--- a/src/main/java/org/springmill/control/coordination/Rentals.java
+++ b/src/main/java/org/springmill/control/coordination/Rentals.java
@@ -31,6 +31,8 @@
     private static final double MIN_CHARGE_S = 60;
     /** After so many leases a dark zone is given up. */
     private static final double DARK_LEASES = 10;
+    /** A machine with less of it free is not drained. */
+    private static final double DRAIN_FREE = 0.5;
     private static final byte[] EMPTY = new byte[0];
 
     private final Fleet fleet;
@@ -49,6 +51,7 @@
     private final Set<String> returned = new HashSet<>();
     private final List<Machine> toDelete = new ArrayList<>();
     private final double startedAt;
+    private double drainedAt = Double.NEGATIVE_INFINITY;
     private double allHeardAt;
     private double missedAt = Double.NEGATIVE_INFINITY;
     private double listedAt = Double.NEGATIVE_INFINITY;
@@ -91,6 +94,17 @@
             return machine.state() != Machine.State.UP ? 2 : machine.attempts().isEmpty() ? 1 : 0;
         }
 
+        /** What giving it back saves, by the hour. */
+        private double saves() {
+            return (spot ? type.spotPrice() : type.price()) * free();
+        }
+
+        /** Share of the machine that is free, by what is scarcest on it. */
+        private double free() {
+            double share = Math.min(cpus / type.cpus(), memory / type.memoryGb());
+            return type.gpus() == 0 ? share : Math.min(share, gpus / type.gpus());
+        }
+
         boolean take(Submission spec, Map<String, Integer> zones) {
             boolean fits = type.fits(spec) && (!spot || spec.spot()) && (spec.zone() == null || spec.zone().equals(zone))
                     && spec.cpus() <= cpus + 1e-6 && spec.gpus() <= gpus + 1e-6 && spec.memoryGb() <= memory + 1e-6
@@ -243,6 +257,8 @@
                     giveBack(machine, "it neither reports nor answers");
                 } else if (machine.quarantined() && machine.attempts().isEmpty()) {
                     giveBack(machine, "it fails what it starts");
+                } else if (machine.draining() && machine.attempts().isEmpty()) {
+                    giveBack(machine, "it was drained");
                 }
             }
             default -> { }
@@ -322,7 +338,9 @@
                 room.add(Bin.of(machine));
             }
         }
-        room.sort(Comparator.comparingInt(Bin::rank).thenComparingDouble(b -> b.type.price()));
+        // The fullest first, so that what is free gathers on few machines, and those can be given back.
+        room.sort(Comparator.comparingInt(Bin::rank).thenComparingDouble(b -> b.type.price())
+                .thenComparingDouble(Bin::free));
         Map<String, Integer> machinesIn = new HashMap<>();
         fleet.machines().forEach(machine -> machinesIn.merge(machine.zone(), 1, Integer::sum));
         for (Job job : placement.waiting()) {
@@ -341,6 +359,52 @@
         }
         rent(room);
         returnIdle(room, now);
+        drainOne(room, now);
+    }
+
+    /**
+     * Empties a machine that is mostly free, if what it runs finds room on others that hold the images and neither
+     * waiting nor expected work needs it. A move costs a replica a moment, the machine costs as long as it is kept; so
+     * the one with most to save goes first, one at a time, and nothing is moved that has just begun.
+     */
+    private void drainOne(List<Bin> room, double now) {
+        boolean calm = now - startedAt > 2 * timing.leaseS() && now - drainedAt > 2 * timing.reportS()
+                && room.stream().noneMatch(bin -> bin.machine == null)
+                && fleet.machines().stream().noneMatch(m -> quiet(m, now) || m.draining() && !m.attempts().isEmpty());
+        if (!calm) {
+            return;
+        }
+        Bin best = null;
+        for (Bin bin : room) {
+            boolean candidate = !bin.used && bin.rank() == 0 && bin.free() >= DRAIN_FREE && bin.machine.attempts().stream()
+                    .allMatch(a -> a.state() == Attempt.State.RUNNING && now - a.runningSince() > 3 * timing.leaseS());
+            if (candidate && (best == null || bin.saves() > best.saves())) {
+                best = bin;
+            }
+        }
+        if (best == null || !fitsElsewhere(best, room)) {
+            return;
+        }
+        LOG.info("draining {}: {} tasks move", best.machine.name(), best.machine.attempts().size());
+        drainedAt = now;
+        best.machine.drain();
+        for (Attempt attempt : best.machine.attemptsNow()) {
+            Submission spec = attempt.job().spec();
+            fleet.stop(attempt, spec.checkpoints() ? spec.saveS() + timing.reportS() : 0);
+        }
+    }
+
+    /** Whether everything on a machine finds room in the same zone on machines that hold its images. Fills the bins. */
+    private static boolean fitsElsewhere(Bin from, List<Bin> room) {
+        for (Attempt attempt : from.machine.attempts()) {
+            Submission spec = attempt.job().spec();
+            boolean found = room.stream().anyMatch(bin -> bin != from && bin.rank() == 0 && bin.zone.equals(from.zone)
+                    && bin.machine.holdsImage(spec.image()) && bin.take(spec, new HashMap<>()));
+            if (!found) {
+                return false;
+            }
+        }
+        return true;
     }
 
     private double slowestBootS() {
--- a/src/test/java/org/springmill/control/coordination/FailureTest.java
+++ b/src/test/java/org/springmill/control/coordination/FailureTest.java
@@ -703,6 +703,44 @@
         assertEquals(0, world.cloud().machines().size(), "idle machines go back");
     }
 
+    @Test
+    void aMachineThatIsMostlyFreeIsDrainedAndItsReplicasMoveOnce() {
+        // Four replicas of 3 GPUs fill up two machines of 8 in each zone, one each after the others have gone.
+        for (int i = 0; i < 8; i++) {
+            var job = World.job("run-00060" + i, "blue", "service", 1, 1, 3);
+            world.submit(0, job.put("yard", i < 4 ? "a" : "b"), Double.POSITIVE_INFINITY);
+        }
+        world.run(30);
+        for (int i = 0; i < 8; i += 4) {
+            String first = world.holder("run-00060" + i + "/0").name();
+            for (int j = i + 1; j < i + 4; j++) {
+                if (world.holder("run-00060" + j + "/0").name().equals(first)) {
+                    world.withdraw(0, "run-00060" + j);
+                    break;
+                }
+            }
+        }
+        world.run(90);
+        int running = 0;
+        for (int i = 0; i < 8; i++) {
+            running += world.running("run-00060" + i);
+            assertTrue(world.starts("run-00060" + i + "/0") <= 2, "moved at most once");
+        }
+        assertEquals(6, running);
+        assertEquals(4, world.cloud().machines().size(), "three replicas of 3 GPUs do not fit one machine of 8");
+        for (int i = 0; i < 8; i += 4) {
+            for (int j = i; j < i + 4; j++) {
+                if (world.running("run-00060" + j) == 1 && j % 4 != 0) {
+                    world.withdraw(0, "run-00060" + j);
+                    break;
+                }
+            }
+        }
+        world.run(180);
+        assertEquals(2, world.cloud().machines().size(), "two of them do");
+        assertEquals(4, java.util.stream.IntStream.range(0, 8).map(i -> world.running("run-00060" + i)).sum());
+    }
+
     @Test
     void metricsTellOfTheWork() {
         world.submit(world.leader(), World.job(JOB, "red", "sweep", 3, 1, 1), 2);
