--- a/src/main/java/org/springmill/control/coordination/Demand.java
+++ b/src/main/java/org/springmill/control/coordination/Demand.java
@@ -8,6 +8,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
+import org.springmill.protocol.CloudMessages.MachineType;
 import org.springmill.protocol.Settings;
 import org.springmill.protocol.Submission;
 
@@ -16,6 +17,8 @@
     /** Arrivals are counted over this many boots: long enough to be steady, short enough to follow a burst. */
     private static final double WINDOW_BOOTS = 3;
     private static final double TIGHT_BOOTS = 4;
+    /** Machines fetch at their type's rate, give or take a third. */
+    private static final double SLOW_FETCH = 4 / 3.0;
 
     private final Settings settings;
     private final double windowS;
@@ -65,6 +68,20 @@
         return jobs;
     }
 
+    /**
+     * Whether some class that runs on a type of machine has to start in less than a fetch may take. There the images
+     * that a machine holds are worth more than the machine costs, and the few that hold one are not given up.
+     */
+    boolean boundToImages(MachineType type) {
+        for (Settings.Objective objective : settings.objectives()) {
+            Submission job = objective.kind().equals("wait") ? latest.get(objective.jobClass()) : null;
+            if (job != null && type.fits(job) && job.imageGb() * SLOW_FETCH > objective.withinS() * type.fetchGbPerS()) {
+                return true;
+            }
+        }
+        return false;
+    }
+
     /** How many tasks of a class to expect while a machine boots, with what chance adds on top. */
     int expected(String jobClass, double bootS, double now) {
         Deque<Double> times = arrivals.get(jobClass);
