--- a/src/main/java/org/springmill/control/coordination/Rentals.java
+++ b/src/main/java/org/springmill/control/coordination/Rentals.java
@@ -376,9 +376,11 @@
         }
         Bin best = null;
         for (Bin bin : room) {
+            boolean settled = bin.machine.attempts().stream().allMatch(
+                    a -> a.state() == Attempt.State.RUNNING && now - a.runningSince() > 3 * timing.leaseS());
             boolean candidate = !bin.used && bin.rank() == 0 && bin.free() >= DRAIN_FREE
-                    && !demand.boundToImages(bin.type) && bin.machine.attempts().stream().allMatch(a -> a.state() == Attempt.State.RUNNING && now - a.runningSince() > 3 * timing.leaseS());
-            if (candidate && (best == null || bin.saves() > best.saves())) {
+                    && !demand.boundToImages(bin.type);
+            if (candidate && settled && (best == null || bin.saves() > best.saves())) {
                 best = bin;
             }
         }
