--- a/src/main/java/org/springmill/control/coordination/Demand.java
+++ b/src/main/java/org/springmill/control/coordination/Demand.java
@@ -20,12 +20,18 @@
     /** Machines fetch at their type's rate, give or take a third. */
     private static final double SLOW_FETCH = 4 / 3.0;
 
+    /** No room is kept for more tasks of one job than this. */
+    private static final int MOST_TASKS = 100;
+
     private final Settings settings;
     private final double windowS;
     private final double startedAt;
-    private final Map<String, Deque<Double>> arrivals = new HashMap<>();
+    private final Map<String, Deque<Arrival>> arrivals = new HashMap<>();
     private final Map<String, Submission> latest = new HashMap<>();
 
+    private record Arrival(double at, int tasks) {
+    }
+
     Demand(Settings settings, double bootS, double now) {
         this.settings = settings;
         this.windowS = WINDOW_BOOTS * bootS;
@@ -38,10 +44,8 @@
         // What comes in the first moments of a term has mostly been waiting for it and says nothing of the rate: at the
         // start of a fleet it had machines rented for as much again, which then never stood empty.
         if (counted && now - startedAt > settings.workers().leaseS() / 2) {
-            Deque<Double> times = arrivals.computeIfAbsent(job.jobClass(), c -> new ArrayDeque<>());
-            for (int i = 0; i < Math.min(job.tasks(), 100); i++) {
-                times.add(now);
-            }
+            arrivals.computeIfAbsent(job.jobClass(), c -> new ArrayDeque<>())
+                    .add(new Arrival(now, Math.min(job.tasks(), MOST_TASKS)));
         }
     }
 
@@ -82,17 +86,21 @@
         return false;
     }
 
-    /** How many tasks of a class to expect while a machine boots, with what chance adds on top. */
+    /**
+     * How many tasks of a class to expect while a machine boots, with what chance adds on top: jobs come at random, but
+     * each brings all of its tasks at once, so chance is as large as the jobs are.
+     */
     int expected(String jobClass, double bootS, double now) {
-        Deque<Double> times = arrivals.get(jobClass);
-        if (times == null) {
+        Deque<Arrival> jobs = arrivals.get(jobClass);
+        if (jobs == null) {
             return 1;
         }
-        while (!times.isEmpty() && times.peek() < now - windowS) {
-            times.poll();
+        while (!jobs.isEmpty() && jobs.peek().at() < now - windowS) {
+            jobs.poll();
         }
         double over = Math.max(bootS, Math.min(windowS, now - startedAt - settings.workers().leaseS() / 2));
-        double mean = times.size() / over * bootS;
-        return (int) Math.ceil((mean + Math.sqrt(mean)) * settings.operator().reserve());
+        double mean = jobs.stream().mapToDouble(Arrival::tasks).sum() / over * bootS;
+        double variance = jobs.stream().mapToDouble(job -> (double) job.tasks() * job.tasks()).sum() / over * bootS;
+        return (int) Math.ceil((mean + Math.sqrt(variance)) * settings.operator().reserve());
     }
 }
