--- a/src/main/java/org/springmill/control/coordination/ImageCache.java
+++ b/src/main/java/org/springmill/control/coordination/ImageCache.java
@@ -5,15 +5,45 @@
 
 /** What a machine's image cache should hold, as far as one can tell from what was started on it. */
 final class ImageCache {
-    /** An image with its size and last use. */
-    record Image(double gb, double usedAt) {
+    /** An image with its size, its last use, and when it should be there. */
+    record Image(double gb, double usedAt, double readyAt) {
     }
 
     private final Map<String, Image> images = new HashMap<>();
 
-    /** The least recently used images fall out when the cache is full; the one in use never does. */
+    /** Notes that a task needs an image. One that is missing is fetched after those that are being fetched already. */
+    void need(String image, double gb, double capacityGb, double gbPerS, double now) {
+        Image held = images.get(image);
+        put(image, new Image(gb, now, held == null ? freeAt(now) + gb / gbPerS : held.readyAt()), capacityGb);
+    }
+
+    /** Notes that a task runs, so that its image is there. */
     void use(String image, double gb, double capacityGb, double now) {
-        images.put(image, new Image(gb, now));
+        put(image, new Image(gb, now, now), capacityGb);
+    }
+
+    /** Notes that no task waits for an image any more: what was not yet there is given up. */
+    void abandon(String image, double now) {
+        images.computeIfPresent(image, (name, held) -> held.readyAt() > now ? null : held);
+    }
+
+    /** When all that is being fetched should be there. */
+    private double freeAt(double now) {
+        return images.values().stream().mapToDouble(Image::readyAt).reduce(now, Math::max);
+    }
+
+    /**
+     * How long a task that needs an image should have to wait for it. Images share the rate at which a machine fetches:
+     * one that fetched several large ones kept small services, sent there since it had room, waiting for half a minute.
+     */
+    double waitS(String image, double gb, double gbPerS, double now) {
+        Image held = images.get(image);
+        return held == null ? freeAt(now) - now + gb / gbPerS : Math.max(0, held.readyAt() - now);
+    }
+
+    /** The least recently used images fall out when the cache is full; the one in use never does. */
+    private void put(String image, Image entry, double capacityGb) {
+        images.put(image, entry);
         while (images.size() > 1 && totalGb() > capacityGb) {
             String oldest = image;
             for (Map.Entry<String, Image> e : images.entrySet()) {
@@ -27,7 +57,7 @@
 
     /** Takes over what an earlier leader noted, as used longest ago. */
     void adopt(String image, double gb) {
-        images.putIfAbsent(image, new Image(gb, Double.NEGATIVE_INFINITY));
+        images.putIfAbsent(image, new Image(gb, Double.NEGATIVE_INFINITY, Double.NEGATIVE_INFINITY));
     }
 
     private double totalGb() {
--- a/src/main/java/org/springmill/control/coordination/Machine.java
+++ b/src/main/java/org/springmill/control/coordination/Machine.java
@@ -12,6 +12,7 @@
 import org.slf4j.event.Level;
 import org.springmill.protocol.CloudMessages.MachineType;
 import org.springmill.protocol.Submission;
+import org.springmill.protocol.TaskId;
 import org.springmill.protocol.WorkerMessages.Report;
 import org.springmill.protocol.WorkerMessages.TaskReport;
 
@@ -33,7 +34,7 @@
     }
 
     private final String name;
-    private final Map<String, Attempt> attempts = new LinkedHashMap<>();
+    private final Map<TaskId, Attempt> attempts = new LinkedHashMap<>();
     private final ImageCache images = new ImageCache();
     private final Set<String> errorJobs = new HashSet<>();
     private State state = State.EXPECTED;
@@ -283,18 +284,22 @@
     }
 
     Attempt find(TaskReport task) {
-        Attempt attempt = attempts.get(task.task().toString());
+        Attempt attempt = attempts.get(task.task());
         return attempt != null && attempt.claim().round() == task.attempt() ? attempt : null;
     }
 
     void add(Attempt attempt) {
-        attempts.put(attempt.claim().task().toString(), attempt);
+        attempts.put(attempt.claim().task(), attempt);
         charge(attempt.job().spec(), 1);
     }
 
     void remove(Attempt attempt, double now) {
-        if (attempts.remove(attempt.claim().task().toString(), attempt)) {
+        if (attempts.remove(attempt.claim().task(), attempt)) {
             charge(attempt.job().spec(), -1);
+            String image = attempt.job().spec().image();
+            if (attempt.runningSince() == 0 && attempts.values().stream().noneMatch(a -> a.job().spec().image().equals(image))) {
+                images.abandon(image, now);
+            }
             if (attempts.isEmpty()) {
                 idleSince = now;
                 usedCpus = 0;
@@ -339,11 +344,25 @@
                 && now - lastHeard < quietS && now >= avoidUntil && termOf(seenToken) == termOf(token);
     }
 
-    /** Notes that an image is being fetched here, or used; the least recently used ones fall out of the cache. */
+    /** Notes that a task that is to start here needs its image. */
+    void needsImage(Submission spec, double now) {
+        images.need(spec.image(), spec.imageGb(), type == null ? 0 : type.cacheGb(), fetchGbPerS(), now);
+    }
+
+    /** Notes that a task runs here, so that its image is there; the least recently used ones fall out of the cache. */
     void usesImage(Submission spec, double now) {
         images.use(spec.image(), spec.imageGb(), type == null ? 0 : type.cacheGb(), now);
     }
 
+    /** How long a task would have to wait here for its image; what a start costs besides is within the second. */
+    double fetchS(Submission spec, double now) {
+        return (images.holds(spec.image()) ? 0 : 1) + images.waitS(spec.image(), spec.imageGb(), fetchGbPerS(), now);
+    }
+
+    private double fetchGbPerS() {
+        return type == null ? 1 : Math.max(1e-3, type.fetchGbPerS());
+    }
+
     boolean holdsImage(String image) {
         return images.holds(image);
     }
--- a/src/main/java/org/springmill/control/coordination/Orders.java
+++ b/src/main/java/org/springmill/control/coordination/Orders.java
@@ -1,6 +1,7 @@
 package org.springmill.control.coordination;
 
 import java.util.ArrayList;
+import java.util.Comparator;
 import java.util.List;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
@@ -112,7 +113,7 @@
     /** The commands that are due now, noting when each is due again. Raises the token where safety asks for it. */
     List<Command> due(Machine machine) {
         double now = fleet.now();
-        List<Command> starts = new ArrayList<>();
+        List<Attempt> starts = new ArrayList<>();
         List<Command> others = new ArrayList<>();
         boolean raise = false;
         for (Attempt attempt : machine.attempts()) {
@@ -129,7 +130,7 @@
                         attempt.transition(Attempt.State.SENT, now);
                     }
                     attempt.sendAgainAt(now + againS());
-                    starts.add(new Start(attempt.claim().task(), attempt.claim().round()));
+                    starts.add(attempt);
                 }
                 case STOPPING -> {
                     attempt.sendAgainAt(now + againS());
@@ -162,11 +163,12 @@
         if (raise) {
             machine.raiseToken();
         }
-        for (Command start : starts) {
-            machine.attempts().stream().filter(a -> a.claim().task().equals(start.task()))
-                    .forEach(a -> a.exposed(machine.token(), machine.session()));
+        // A machine fetches images in the order of the starts: a small one hardly delays a large one.
+        starts.sort(Comparator.comparingDouble(attempt -> attempt.job().spec().imageGb()));
+        for (Attempt attempt : starts) {
+            attempt.exposed(machine.token(), machine.session());
+            others.add(new Start(attempt.claim().task(), attempt.claim().round()));
         }
-        others.addAll(starts);
         return others;
     }
 }
--- a/src/main/java/org/springmill/control/coordination/Peers.java
+++ b/src/main/java/org/springmill/control/coordination/Peers.java
@@ -175,9 +175,9 @@
         return loop.now() - lastLeaderHeard > timing.unheardS();
     }
 
-    /** Whether no other controller was heard of for some time. */
-    boolean noneHeard() {
-        return loop.now() - lastHeard > timing.unheardS();
+    /** When any other controller was last heard of. */
+    double lastHeard() {
+        return lastHeard;
     }
 
     /** Whether every other controller has lately answered this one. */
--- a/src/main/java/org/springmill/control/coordination/Placement.java
+++ b/src/main/java/org/springmill/control/coordination/Placement.java
@@ -141,7 +141,7 @@
         Claim claim = Claim.decide(new TaskId(job.id(), job.nextTask()), machine.name(), round);
         Attempt attempt = new Attempt(claim, job, machine, fleet.now());
         fleet.ledger().add(attempt);
-        machine.usesImage(job.spec(), fleet.now());
+        machine.needsImage(job.spec(), fleet.now());
         placed.add(attempt);
         return true;
     }
@@ -185,9 +185,7 @@
 
     private double score(Job job, Machine machine, double now) {
         Submission spec = job.spec();
-        double fetchS = machine.holdsImage(spec.image()) ? 0
-                : 1 + spec.imageGb() / Math.max(1e-3, machine.type().fetchGbPerS());
-        double score = fetchS;
+        double score = machine.fetchS(spec, now);
         // Late reports are the first sign of trouble.
         if (now - machine.lastHeard() > timing.reportS() * 1.3) {
             score += 10;
--- a/src/main/java/org/springmill/control/coordination/Rentals.java
+++ b/src/main/java/org/springmill/control/coordination/Rentals.java
@@ -369,6 +369,7 @@
      */
     private void drainOne(List<Bin> room, double now) {
         boolean calm = now - startedAt > 2 * timing.leaseS() && now - drainedAt > 2 * timing.reportS()
+                && placement.waiting().isEmpty()
                 && room.stream().noneMatch(bin -> bin.machine == null)
                 && fleet.machines().stream().noneMatch(m -> quiet(m, now) || m.draining() && !m.attempts().isEmpty());
         if (!calm) {
--- a/src/main/java/org/springmill/control/coordination/Settling.java
+++ b/src/main/java/org/springmill/control/coordination/Settling.java
@@ -86,7 +86,7 @@
             case FETCHING -> {
                 if (attempt.state() == Attempt.State.SENT || attempt.state() == Attempt.State.UNKNOWN) {
                     attempt.transition(Attempt.State.FETCHING, now);
-                    machine.usesImage(attempt.job().spec(), now);
+                    machine.needsImage(attempt.job().spec(), now);
                 }
             }
             case RUNNING -> {
--- a/src/main/java/org/springmill/control/coordination/StandIn.java
+++ b/src/main/java/org/springmill/control/coordination/StandIn.java
@@ -19,6 +19,8 @@
     private final Timing timing;
     /** Tokens with which workers first came here in the present spell of loneliness. */
     private final Map<String, Long> firstTokens = new HashMap<>();
+    /** When this controller last heard of anyone before that spell. */
+    private double aloneSince = Double.NEGATIVE_INFINITY;
 
     StandIn(StateStore store, Peers peers, Leadership leadership, Loop loop, Timing timing) {
         this.store = store;
@@ -47,11 +49,14 @@
 
     /** Cut off from the state service and from every other controller, as all are in a zone that is cut off. */
     private boolean alone() {
-        boolean alone = peers.noneHeard() && loop.now() - store.lastServed() > timing.unheardS();
-        if (!alone) {
+        double since = Math.max(peers.lastHeard(), store.lastServed());
+        if (since != aloneSince) {
+            // Tokens remembered from an earlier cut made every worker that a leader had since commanded seem to be
+            // within a leader's reach: in a second cut of the zone all of them were sent away until their leases ended.
+            aloneSince = since;
             firstTokens.clear();
         }
-        return alone;
+        return loop.now() - since > timing.wordS();
     }
 
     /** A worker whose token has risen is within some leader's reach and should report there. */
--- a/src/main/java/org/springmill/control/coordination/UserApi.java
+++ b/src/main/java/org/springmill/control/coordination/UserApi.java
@@ -115,7 +115,8 @@
                     pending--;
                     directory.learn(new JobRecord(submission.id(), submission, Phase.QUEUED, result.revision()));
                     metrics.accepted(since);
-                    LOG.debug("{} accepted", submission.id());
+                    LOG.debug("{} accepted: {} of {} for {}", submission.id(), submission.tasks(), submission.jobClass(),
+                            submission.team());
                     call.reply(201, UserMessages.phase(submission.id(), Phase.QUEUED), 0);
                 }
                 case REFUSED -> {
--- a/src/test/java/org/springmill/control/coordination/FailureTest.java
+++ b/src/test/java/org/springmill/control/coordination/FailureTest.java
@@ -431,6 +431,32 @@
         }
     }
 
+    /** Tokens rise between two cuts; the second spell of loneliness must not be judged by those of the first. */
+    @Test
+    void aZoneIsCutOffTwice() {
+        world.submit(0, World.job(JOB, "blue", "service", 8, 1, 4), Double.POSITIVE_INFINITY);
+        world.run(8);
+        int inside = follower();
+        for (int cut = 0; cut < 2; cut++) {
+            // Its workers first try the controllers that they cannot reach: by then the one inside knows that it is alone.
+            world.cutPeers(inside, true);
+            world.network().judge((from, request) -> from.startsWith("host-") || from.equals("n-" + inside)
+                    ? Fate.DROP : Fate.DELIVER);
+            world.run(4);
+            cutZone("b", inside);
+            world.run(26);
+            world.network().judge((from, request) -> Fate.DELIVER);
+            world.cutPeers(inside, false);
+            world.run(10);
+            assertEquals(201, world.submit(0, World.job("run-00010" + cut, "blue", "sweep", 40, 1, 0), 1));
+            world.run(20);
+            assertEquals("done", world.phase(0, "run-00010" + cut), "commands that raise every worker's token");
+        }
+        for (int i = 0; i < 8; i++) {
+            assertEquals(1, world.starts(JOB + "/" + i), "task " + i);
+        }
+    }
+
     @Test
     void whatIsCancelledInAZoneThatIsCutOffGoesInTime() {
         world.submit(0, World.job(JOB, "red", "service", 4, 1, 2), Double.POSITIVE_INFINITY);
--- /dev/null
+++ b/src/test/java/org/springmill/control/coordination/ImageCacheTest.java
@@ -0,0 +1,52 @@
+package org.springmill.control.coordination;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
+
+/** A machine of 100 GB that fetches 2 GB a second and was asked for a large and a small image at second 10. */
+class ImageCacheTest {
+    private final ImageCache images = new ImageCache();
+
+    @BeforeEach
+    void twoFetches() {
+        images.need("large", 60, 100, 2, 10);
+        images.need("small", 2, 100, 2, 10);
+    }
+
+    /** What fetches already delays what comes next; it must not look like a machine whose link is free. */
+    @ParameterizedTest
+    @CsvSource({"large, 60, 10, 30", "small, 2, 10, 31", "other, 4, 10, 33", "small, 2, 40, 1", "other, 4, 40, 3",
+            "other, 4, 60, 2", "large, 60, 60, 0"})
+    void aFetchWaitsForThoseBeforeIt(String image, double gb, double now, double waits) {
+        assertEquals(waits, images.waitS(image, gb, 2, now), 1e-9);
+    }
+
+    @Test
+    void aRunningTaskShowsThatItsImageIsThere() {
+        images.use("large", 60, 100, 15);
+        images.use("small", 2, 100, 15);
+        assertEquals(0, images.waitS("large", 60, 2, 15));
+        assertEquals(2, images.waitS("other", 4, 2, 15));
+    }
+
+    @Test
+    void aFetchIsGivenUpWithTheLastTaskThatWaitsForIt() {
+        images.abandon("large", 20);
+        assertFalse(images.holds("large"));
+        images.abandon("small", 50);
+        assertEquals(0, images.waitS("small", 2, 2, 50), "it was there already");
+    }
+
+    @Test
+    void theLeastRecentlyUsedFallsOut() {
+        images.use("large", 60, 100, 20);
+        images.need("third", 50, 100, 2, 30);
+        assertFalse(images.holds("small"));
+        assertFalse(images.holds("large"));
+    }
+}
