--- a/src/main/java/org/springmill/control/coordination/Leader.java
+++ b/src/main/java/org/springmill/control/coordination/Leader.java
@@ -46,6 +46,7 @@
     private final Rentals rentals;
     private final Demand demand;
     private JsonNode lastNotes;
+    private double tickedAt;
     private boolean rebuilt;
     private boolean closed;
 
@@ -155,6 +156,7 @@
             finishIfComplete(job);
         }
         rounds.request();
+        tickedAt = loop.now();
         tick();
         broadcast();
         store.get(ImageNotes.KEY, read -> {
@@ -191,6 +193,13 @@
         if (closed) {
             return;
         }
+        double now = loop.now();
+        if (now - tickedAt > timing.reportS() / 2) {
+            // This controller stood still, or had no processor time: what it did not read meanwhile was no silence.
+            LOG.info("nothing was done for {} s", Math.round(now - tickedAt));
+            rentals.stoodStill();
+        }
+        tickedAt = now;
         loop.after(timing.reportS() / 8, this::tick);
         leadership.state();
         if (closed || !leadership.mayAnswer()) {
@@ -202,7 +211,7 @@
         }
         settling.tick();
         for (Machine machine : fleet.machinesNow()) {
-            if (machine.state() == Machine.State.UP && loop.now() - machine.lastHeard() > timing.quietS()) {
+            if (machine.state() == Machine.State.UP && loop.now() - machine.lastHeard() > timing.probeS()) {
                 machine.askAgain = true;
             }
             orders.poke(machine);
--- a/src/main/java/org/springmill/control/coordination/Orders.java
+++ b/src/main/java/org/springmill/control/coordination/Orders.java
@@ -25,8 +25,10 @@
     private static final Logger LOG = LoggerFactory.getLogger(Orders.class);
 
     /**
-     * So many requests that carry no command may be on the way at once. A new leader asks all machines; asking hundreds
-     * in one go kept it from answering the reports that they sent by themselves, until their leases ran out.
+     * So many requests that carry no command may be on the way at once to machines that have not been heard of yet. A
+     * new leader asks all machines; asking hundreds in one go kept it from answering the reports that they sent by
+     * themselves, until their leases ran out. Machines that have fallen silent are all asked: when a rack is gone each
+     * question takes its whole time, and asked in turns the last ones were known to be dead many seconds after the first.
      */
     private static final int MAX_PROBES = 16;
 
@@ -65,12 +67,12 @@
             return;
         }
         List<Command> due = machine.session() == 0 ? List.of() : due(machine);
-        if (due.isEmpty() && (!machine.askAgain || probes >= MAX_PROBES)) {
+        boolean probe = due.isEmpty() && machine.session() == 0;
+        if (due.isEmpty() && !machine.askAgain || probe && probes >= MAX_PROBES) {
             return;
         }
         machine.askAgain = false;
         machine.ordersInFlight = true;
-        boolean probe = due.isEmpty();
         probes += probe ? 1 : 0;
         // A worker that has not reported yet is most likely in its first session; if not, its refusal tells.
         long session = Math.max(1, machine.session());
--- a/src/main/java/org/springmill/control/coordination/Rentals.java
+++ b/src/main/java/org/springmill/control/coordination/Rentals.java
@@ -18,6 +18,7 @@
 import org.springmill.protocol.CloudMessages.MachineType;
 import org.springmill.protocol.Settings;
 import org.springmill.protocol.Submission;
+import org.springmill.protocol.WorkerMessages;
 import org.springmill.protocol.WorkerMessages.Cause;
 import org.springmill.transport.HttpClient;
 import org.springmill.transport.HttpClient.Reply;
@@ -51,11 +52,14 @@
     private final Set<String> returned = new HashSet<>();
     private final List<Machine> toDelete = new ArrayList<>();
     private final double startedAt;
+    private double listeningSince;
     private double drainedAt = Double.NEGATIVE_INFINITY;
     private double allHeardAt;
     private double missedAt = Double.NEGATIVE_INFINITY;
     private double listedAt = Double.NEGATIVE_INFINITY;
     private int requests;
+    /** Machines that this tick's plan would rent. */
+    private int planned;
     private boolean closed;
 
     /** A machine that is booting, or would be rented, as the packing of demand sees it. */
@@ -132,6 +136,7 @@
         this.timing = timing;
         this.changed = changed;
         this.startedAt = loop.now();
+        this.listeningSince = startedAt;
         this.allHeardAt = startedAt;
         this.calls = new RateLimit(settings.cloud().requestsPerS(), loop.now());
     }
@@ -144,6 +149,11 @@
         closed = true;
     }
 
+    /** Tells that for some time nothing was read or done here. */
+    void stoodStill() {
+        listeningSince = loop.now();
+    }
+
     private double listEveryS() {
         return Math.max(timing.reportS() / 2, 2 / settings.cloud().requestsPerS());
     }
@@ -222,22 +232,27 @@
                 silent += quiet(machine, now) ? 1 : 0;
             }
         }
+        // Many at once may mean that this controller is cut off; by the time at which another one would have heard of
+        // them, and has not, they are a rack that is gone.
         boolean fewSilent = silent <= Math.max(1, up / 4);
+        boolean unheardOf = peers.allHeard() && peers.workersElsewhere() <= silent / 4;
+        double deadAfterS = fewSilent ? timing.silentS()
+                : unheardOf ? timing.silentS() + WorkerMessages.TURNS_ELSEWHERE_S : Double.POSITIVE_INFINITY;
         for (Machine machine : fleet.machinesNow()) {
             if (machine.type() != null) {
-                tend(machine, now, fewSilent);
+                tend(machine, now, deadAfterS);
             }
         }
         refusedUntil.values().removeIf(until -> until < now);
         plan(now);
     }
 
-    private void tend(Machine machine, double now, boolean fewSilent) {
+    private void tend(Machine machine, double now, double deadAfterS) {
         boolean dark = darkZones.contains(machine.zone());
         switch (machine.state()) {
             case EXPECTED -> {
                 boolean waited = now - startedAt > timing.othersS() + 2 * timing.leaseS();
-                if (asGoodAsDead(machine, now, fewSilent)) {
+                if (asGoodAsDead(machine, now, deadAfterS)) {
                     giveBack(machine, "it neither reports nor answers");
                 } else if (waited && !dark && !machine.attempts().isEmpty()) {
                     // Its worker never reported to this leader, and with no word from every other controller its
@@ -253,7 +268,7 @@
                 }
             }
             case UP -> {
-                if (asGoodAsDead(machine, now, fewSilent)) {
+                if (asGoodAsDead(machine, now, deadAfterS)) {
                     giveBack(machine, "it neither reports nor answers");
                 } else if (machine.quarantined() && machine.attempts().isEmpty()) {
                     giveBack(machine, "it fails what it starts");
@@ -300,13 +315,20 @@
                 || machine.state() == Machine.State.EXPECTED && !machine.attempts().isEmpty();
     }
 
+    /**
+     * Whether a machine's report is overdue. Well before its silence is acted on: how many are silent together has to
+     * show by the time at which the first of them might be deleted.
+     */
     private boolean quiet(Machine machine, double now) {
-        return quietFor(machine, now) > timing.quietS() && !unlisted(machine);
+        return quietFor(machine, now) > timing.probeS() && !unlisted(machine);
     }
 
-    /** How long a machine that should report has not; a new leader gives all of them time to find it. */
+    /**
+     * How long a machine that should report has not. A leader that is new, or that stood still, gives all of them time to
+     * find it: one that woke from a pause would else take the whole fleet for dead before it has read a single report.
+     */
     private double quietFor(Machine machine, double now) {
-        return reporting(machine) ? now - Math.max(machine.lastHeard(), startedAt + timing.silentS() / 2) : 0;
+        return reporting(machine) ? now - Math.max(machine.lastHeard(), listeningSince + timing.silentS() / 2) : 0;
     }
 
     private boolean unlisted(Machine machine) {
@@ -314,15 +336,17 @@
     }
 
     /**
-     * Deletion proves that what a silent machine ran is gone, well before its lease could. Not when many listed
-     * machines are silent at once: then it is more likely this controller that is cut off, or their zone.
+     * Deletion proves that what a silent machine ran is gone, well before its lease could. It takes longer to decide when
+     * many listed machines are silent at once: it may be this controller that is cut off, or their zone.
      */
-    private boolean asGoodAsDead(Machine machine, double now, boolean fewSilent) {
-        return quietFor(machine, now) > timing.silentS() && machine.ordersFailing() && !machine.attempts().isEmpty()
-                && (unlisted(machine) || fewSilent && !darkZones.contains(machine.zone()));
+    private boolean asGoodAsDead(Machine machine, double now, double deadAfterS) {
+        boolean silent = unlisted(machine) ? quietFor(machine, now) > timing.silentS()
+                : quietFor(machine, now) > deadAfterS && !darkZones.contains(machine.zone());
+        return silent && machine.ordersFailing() && !machine.attempts().isEmpty();
     }
 
     private void plan(double now) {
+        planned = 0;
         if (now - startedAt < settings.cloud().listLagS() * 2) {
             // Machines rented just before a change of leader may not be listed yet.
             return;
@@ -437,10 +461,13 @@
                 }
                 continue;
             }
-            Bin bin = room.size() > 1000 ? null : cheapest(spec, left, taken, machinesIn, now);
+            // No more than can be asked for at once. A bound on all machines together once ended rentals for good in a
+            // fleet that had grown past it.
+            Bin bin = planned == CloudMessages.MAX_RENT * 4 ? null : cheapest(spec, left, taken, machinesIn, now);
             if (bin == null) {
                 return;
             }
+            planned++;
             room.add(bin);
         }
     }
--- a/src/main/java/org/springmill/control/coordination/Timing.java
+++ b/src/main/java/org/springmill/control/coordination/Timing.java
@@ -12,12 +12,13 @@
  * @param confirmS how long a peer's word that it cannot reach the state service is good for, from the question on
  * @param leaseS a worker's lease as seen from another clock
  * @param claimWindowS after this an unconfirmed start is unknown and is settled
+ * @param probeS a worker not heard for this long, longer than its reports are apart, is asked
  * @param quietS a worker not heard for this long gets no new work
  * @param silentS a worker not heard for this long, and not answering orders either, is as good as dead
  * @param cancelDeleteS a cancelled task not gone by then has its machine deleted
  */
 record Timing(double leaderTtlS, double renewS, double graceS, double confirmS, double pingS, double stateTimeoutS,
-        double leaseS, double reportS, double claimWindowS, double quietS, double silentS, double orderTimeoutS, double cancelDeleteS) {
+        double leaseS, double reportS, double claimWindowS, double probeS, double quietS, double silentS, double orderTimeoutS, double cancelDeleteS) {
 
     /** Drift of two clocks against each other, doubled, and timers that fire late. */
     private static final double DRIFT = 1.002;
@@ -27,7 +28,8 @@
         double report = settings.workers().reportS();
         double ttl = lease / 5;
         return new Timing(ttl, ttl / 4, ttl, ttl / 2, ttl / 8, ttl / 3, lease * DRIFT + report / 10, report, lease * 0.3,
-                report * 1.25 * 1.6, report * 2.6, report * 0.6, settings.workers().cancelS() * 0.55);
+                report * 1.25 * 1.15, report * 1.25 * 1.6, report * 2.1, report * 0.6,
+                settings.workers().cancelS() * 0.55);
     }
 
     /** Silence between controllers longer than anyone acts on a word: whoever was just answered does not stand in. */
