--- a/src/main/java/org/springmill/control/coordination/Leader.java
+++ b/src/main/java/org/springmill/control/coordination/Leader.java
@@ -147,7 +147,7 @@
         rebuilt = true;
         LOG.info("term {}: {} active jobs, {} claims in {} rounds", fleet.term(), active.size(), found.live().size(),
                 log.rounds());
-        rentals.start();
+        rentals.start(log.rounds() == 0);
         for (Machine machine : fleet.machinesNow()) {
             machine.askAgain = true;
             orders.poke(machine);
--- a/src/main/java/org/springmill/control/coordination/Rentals.java
+++ b/src/main/java/org/springmill/control/coordination/Rentals.java
@@ -34,6 +34,10 @@
     private static final double DARK_LEASES = 10;
     /** A machine with less of it free is not drained. */
     private static final double DRAIN_FREE = 0.5;
+    /** This share of the fleet may fall silent at once and be taken for dead like single machines. */
+    private static final double FAILING = 0.25;
+    /** Room for the replicas of such a share may cost this part of what the fleet costs, for each class. */
+    private static final double INSURANCE = 0.01;
     private static final byte[] EMPTY = new byte[0];
 
     private final Fleet fleet;
@@ -57,6 +61,7 @@
     private double allHeardAt;
     private double missedAt = Double.NEGATIVE_INFINITY;
     private double listedAt = Double.NEGATIVE_INFINITY;
+    private boolean first;
     private int requests;
     /** Machines that this tick's plan would rent. */
     private int planned;
@@ -100,7 +105,7 @@
 
         /** What giving it back saves, by the hour. */
         private double saves() {
-            return (spot ? type.spotPrice() : type.price()) * free();
+            return type.price(spot) * free();
         }
 
         /** Share of the machine that is free, by what is scarcest on it. */
@@ -141,7 +146,13 @@
         this.calls = new RateLimit(settings.cloud().requestsPerS(), loop.now());
     }
 
-    void start() {
+    /** @param firstTerm whether no earlier leader can have rented anything */
+    void start(boolean firstTerm) {
+        first = firstTerm;
+        list();
+    }
+
+    private void list() {
         list(null, new ArrayList<>());
     }
 
@@ -172,7 +183,7 @@
                 }
             }
             if (page == null) {
-                loop.after(listEveryS(), this::start);
+                loop.after(listEveryS(), this::list);
                 return;
             }
             found.addAll(page.machines());
@@ -181,13 +192,13 @@
                 return;
             }
             listed(found);
-            loop.after(listEveryS(), this::start);
+            loop.after(listEveryS(), this::list);
         });
     }
 
     private void listed(List<ListedMachine> found) {
         double now = loop.now();
-        boolean first = listedAt == Double.NEGATIVE_INFINITY;
+        boolean firstList = listedAt == Double.NEGATIVE_INFINITY;
         listedAt = now;
         for (ListedMachine listed : found) {
             if (returned.contains(listed.name())) {
@@ -197,7 +208,7 @@
             machine.listed(now);
             if (machine.type() == null || machine.address().isEmpty()) {
                 machine.describe(listed.address(), fleet.catalog().get(listed.type()), listed.zone(), listed.spot());
-                if (first) {
+                if (firstList) {
                     // A new leader's token goes out at once, so that the worker stops obeying the old one.
                     machine.askAgain = true;
                 }
@@ -234,7 +245,7 @@
         }
         // Many at once may mean that this controller is cut off; by the time at which another one would have heard of
         // them, and has not, they are a rack that is gone.
-        boolean fewSilent = silent <= Math.max(1, up / 4);
+        boolean fewSilent = silent <= Math.max(1, up * FAILING);
         boolean unheardOf = peers.allHeard() && peers.workersElsewhere() <= silent / 4;
         double deadAfterS = fewSilent ? timing.silentS()
                 : unheardOf ? timing.silentS() + WorkerMessages.TURNS_ELSEWHERE_S : Double.POSITIVE_INFINITY;
@@ -347,7 +358,7 @@
 
     private void plan(double now) {
         planned = 0;
-        if (now - startedAt < settings.cloud().listLagS() * 2) {
+        if (!first && now - startedAt < settings.cloud().listLagS() * 2) {
             // Machines rented just before a change of leader may not be listed yet.
             return;
         }
@@ -379,13 +390,53 @@
             pack(job.spec(), wanted, zones, room, machinesIn, now);
         }
         for (Submission job : demand.urgent(slowestBootS())) {
-            pack(job, demand.expected(job.jobClass(), slowestBootS(), now), null, room, machinesIn, now);
+            int expected = demand.expected(job.jobClass(), slowestBootS(), now);
+            keepReady(job, expected + insured(job), room, machinesIn, now);
         }
         rent(room);
         returnIdle(room, now);
         drainOne(room, now);
     }
 
+    /**
+     * How many replicas of a class are to find room should part of the fleet fail at once: as many as the same share of
+     * machines would hold that is believed to be dead without further doubt, as far as that costs next to nothing. For
+     * large replicas it is none to speak of. Small ones lost with a rack otherwise wait for a boot, behind large ones
+     * that take the new machines.
+     */
+    private int insured(Submission job) {
+        if (!job.service()) {
+            return 0;
+        }
+        int running = 0;
+        for (Job other : fleet.ledger().jobs().values()) {
+            running += other.spec().jobClass().equals(job.jobClass()) ? other.liveCount() : 0;
+        }
+        double cost = 0;
+        for (Machine machine : fleet.machines()) {
+            cost += machine.type() == null ? 0 : machine.type().price(machine.spot());
+        }
+        double each = Double.POSITIVE_INFINITY;
+        for (MachineType type : fleet.catalog().all()) {
+            if (type.fits(job)) {
+                each = Math.min(each, type.price() / type.holds(job));
+            }
+        }
+        return (int) Math.min(running * FAILING, INSURANCE * cost / Math.max(1e-6, each));
+    }
+
+    /** Keeps room for so many tasks of a class; in equal parts in all zones where its jobs have to be spread. */
+    private void keepReady(Submission job, int tasks, List<Bin> room, Map<String, Integer> machinesIn, double now) {
+        if (!job.spread() || job.zone() != null) {
+            pack(job, tasks, null, room, machinesIn, now);
+            return;
+        }
+        List<String> zones = settings.zones();
+        for (String zone : zones) {
+            pack(job.inZone(zone), (tasks + zones.size() - 1) / zones.size(), null, room, machinesIn, now);
+        }
+    }
+
     /**
      * Empties a machine that is mostly free, if what it runs finds room on others that hold the images and neither
      * waiting nor expected work needs it. A move costs a replica a moment, the machine costs as long as it is kept; so
@@ -481,16 +532,13 @@
             if (!type.fits(spec)) {
                 continue;
             }
-            double perMachine = Math.min(type.cpus() / Math.max(1e-6, spec.cpus()),
-                    Math.min(type.memoryGb() / Math.max(1e-6, spec.memoryGb()),
-                            spec.gpus() == 0 ? 1e9 : type.gpus() / spec.gpus()));
-            double used = Math.max(1, Math.min(tasks, Math.floor(perMachine)));
+            int used = Math.min(tasks, type.holds(spec));
             for (String zone : type.zones()) {
                 if (darkZones.contains(zone) || spec.zone() != null && !spec.zone().equals(zone) || zones.getOrDefault(zone, 0) >= spec.perZone()) {
                     continue;
                 }
                 for (boolean spot : spec.spot() ? new boolean[] {true, false} : new boolean[] {false}) {
-                    double price = (spot ? type.spotPrice() : type.price()) / used
+                    double price = type.price(spot) / used
                             + 1e-3 * zones.getOrDefault(zone, 0) + 1e-4 * machinesIn.getOrDefault(zone, 0);
                     if (price < bestPrice && now >= refusedUntil.getOrDefault(kind(type.name(), zone, spot), 0.0)) {
                         bestPrice = price;
--- a/src/main/java/org/springmill/protocol/CloudMessages.java
+++ b/src/main/java/org/springmill/protocol/CloudMessages.java
@@ -25,6 +25,17 @@
                     && (job.types() == null || job.types().contains(name))
                     && (job.zone() == null || zones.contains(job.zone()));
         }
+
+        /** How many tasks of a job that fits have room on one machine. */
+        public int holds(Submission job) {
+            double gpuBound = job.gpus() == 0 ? Integer.MAX_VALUE : gpus / job.gpus();
+            return (int) Math.max(1, Math.min(cpus / Math.max(1e-6, job.cpus()),
+                    Math.min(memoryGb / Math.max(1e-6, job.memoryGb()), gpuBound)));
+        }
+
+        public double price(boolean spot) {
+            return spot ? spotPrice : price;
+        }
     }
 
     /** Where a machine stands in the cloud's list. */
--- a/src/main/java/org/springmill/protocol/Submission.java
+++ b/src/main/java/org/springmill/protocol/Submission.java
@@ -75,6 +75,12 @@
         return shape == Shape.GANG;
     }
 
+    /** The same job as if it were allowed in one zone only. */
+    public Submission inZone(String only) {
+        return new Submission(id, jobClass, team, shape, priority, tasks, cpus, gpus, memoryGb, image, imageGb, types,
+                only, oneZone, spread, spot, estimateS, checkpointS, saveS, deadlineS);
+    }
+
     /** How many tasks of the job one zone may hold. */
     public int perZone() {
         return spread ? (tasks + 1) / 2 : tasks;
