--- a/src/main/java/org/springmill/cli/RehearseCommand.java
+++ b/src/main/java/org/springmill/cli/RehearseCommand.java
@@ -4,6 +4,7 @@
 import java.nio.file.Files;
 import java.nio.file.Path;
 import java.util.List;
+import java.util.Set;
 import java.util.concurrent.Callable;
 import org.springmill.protocol.BadMessageException;
 import org.springmill.protocol.RehearsalMessages;
@@ -74,7 +75,7 @@
     @Override
     public Integer call() throws Exception {
         Path file = Files.createTempFile("rehearsal", ".toml");
-        Transport around = new Transport(100);
+        Transport around = new Transport(100, Set.of());
         try {
             int port = around.serve("127.0.0.1:0", this::play);
             world = new RehearsalMessages("127.0.0.1:" + port);
--- a/src/main/java/org/springmill/cli/RunCommand.java
+++ b/src/main/java/org/springmill/cli/RunCommand.java
@@ -1,6 +1,7 @@
 package org.springmill.cli;
 
 import java.io.IOException;
+import java.util.Set;
 import java.util.SplittableRandom;
 import java.util.concurrent.Callable;
 import org.springmill.control.coordination.Controller;
@@ -37,7 +38,8 @@
     }
 
     static void start(Settings settings) throws IOException {
-        Transport transport = new Transport(settings.limits().maxSockets());
+        Transport transport = new Transport(settings.limits().maxSockets(),
+                Set.of(settings.stateAddress(), settings.cloudAddress()));
         PeerLink link = transport.peers(settings.peerListen(), settings.peers());
         Controller controller = new Controller(settings, transport.loop(), transport.client(), link,
                 new SplittableRandom(seed(settings)));
--- a/src/main/java/org/springmill/transport/UndertowClients.java
+++ b/src/main/java/org/springmill/transport/UndertowClients.java
@@ -16,7 +16,10 @@
 import java.nio.ByteBuffer;
 import java.util.ArrayDeque;
 import java.util.HashMap;
+import java.util.Iterator;
+import java.util.LinkedHashSet;
 import java.util.Map;
+import java.util.Set;
 import java.util.function.Consumer;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
@@ -28,7 +31,11 @@
 import org.xnio.channels.StreamSinkChannel;
 import org.xnio.channels.StreamSourceChannel;
 
-/** Undertow's client with a small pool of kept connections for each address, one request at a time on each. */
+/**
+ * Undertow's client with a small pool of kept connections for each address, one request at a time on each. All together
+ * are bounded, for a fleet may have more machines than this process has sockets: past the bound the connection that was
+ * unused for longest gives way to a new one.
+ */
 final class UndertowClients implements HttpClient {
     private static final Logger LOG = LoggerFactory.getLogger(UndertowClients.class);
 
@@ -43,9 +50,22 @@
     private final XnioIoThread thread;
     private final ByteBufferPool buffers;
     private final Loop loop;
+    private final int limit;
+    private final Set<String> preferred;
     private final Map<String, Pool> pools = new HashMap<>();
+    /** Idle connections that may be given up, the one unused for longest first. */
+    private final Set<ClientConnection> spare = new LinkedHashSet<>();
+    /** Pools whose next connection waits for one of another pool to come free. */
+    private final Set<Pool> crowdedOut = new LinkedHashSet<>();
+    private int sockets;
 
-    UndertowClients(XnioIoThread thread, ByteBufferPool buffers, Loop loop) {
+    /**
+     * @param limit connections that may be open at once, but for those to preferred addresses
+     * @param preferred addresses that are few and always served
+     */
+    UndertowClients(XnioIoThread thread, ByteBufferPool buffers, Loop loop, int limit, Set<String> preferred) {
+        this.limit = limit;
+        this.preferred = preferred;
         this.thread = thread;
         this.buffers = buffers;
         this.loop = loop;
@@ -57,8 +77,35 @@
         pool.submit(new Job(pool, request, done));
     }
 
+    /** Makes room for one more connection if there is none; false if all of them are busy. */
+    private boolean roomForOneMore() {
+        if (sockets < limit) {
+            return true;
+        }
+        Iterator<ClientConnection> oldest = spare.iterator();
+        if (!oldest.hasNext()) {
+            return false;
+        }
+        ClientConnection connection = oldest.next();
+        oldest.remove();
+        // Closing it takes it out of its pool.
+        IoUtils.safeClose(connection);
+        return sockets < limit;
+    }
+
+    /** A connection came free or was closed: those that waited longest for one may go on. */
+    private void serveCrowdedOut() {
+        while (!crowdedOut.isEmpty() && (sockets < limit || !spare.isEmpty())) {
+            Iterator<Pool> first = crowdedOut.iterator();
+            Pool pool = first.next();
+            first.remove();
+            pool.pump();
+        }
+    }
+
     private final class Pool {
         private final String address;
+        private final boolean counted;
         private final URI uri;
         private final ArrayDeque<ClientConnection> idle = new ArrayDeque<>();
         private final ArrayDeque<Job> waiting = new ArrayDeque<>();
@@ -68,6 +115,7 @@
 
         Pool(String address) {
             this.address = address;
+            this.counted = !preferred.contains(address);
             this.uri = URI.create("http://" + address);
         }
 
@@ -82,18 +130,38 @@
                 if (connection == null) {
                     break;
                 }
+                spare.remove(connection);
                 if (connection.isOpen()) {
                     waiting.poll().start(connection);
                 }
             }
             boolean stuck = connecting > 0 && loop.now() - lastConnect > CONNECT_AGAIN_S;
             if (waiting.size() > connecting && open + connecting < MAX_PER_ADDRESS && (connecting < 2 || stuck)) {
-                connect();
+                if (!counted || roomForOneMore()) {
+                    connect();
+                } else {
+                    crowdedOut.add(this);
+                }
+            }
+        }
+
+        private void count(int change) {
+            sockets += counted ? change : 0;
+            if (change < 0) {
+                serveCrowdedOut();
+            }
+        }
+
+        private void idle(ClientConnection connection) {
+            idle.push(connection);
+            if (counted) {
+                spare.add(connection);
             }
         }
 
         private void connect() {
             connecting++;
+            count(1);
             lastConnect = loop.now();
             UndertowClient.getInstance().connect(new ClientCallback<ClientConnection>() {
                 @Override
@@ -107,6 +175,7 @@
                 @Override
                 public void failed(IOException e) {
                     connecting--;
+                    count(-1);
                     LOG.debug("connect to {}: {}", address, e.getMessage());
                     // All that waited for this attempt fail together; each decides for itself what to do next.
                     while (waiting.size() > connecting) {
@@ -118,14 +187,17 @@
 
         void release(ClientConnection connection) {
             if (connection.isOpen()) {
-                idle.push(connection);
+                idle(connection);
                 pump();
+                serveCrowdedOut();
             }
         }
 
         private void closed(ClientConnection connection) {
             open--;
             idle.remove(connection);
+            spare.remove(connection);
+            count(-1);
             if (open + connecting + waiting.size() == 0) {
                 pools.remove(address, this);
             } else {
@@ -156,6 +228,9 @@
             }
             if (connection == null) {
                 pool.waiting.remove(this);
+                if (pool.waiting.isEmpty()) {
+                    crowdedOut.remove(pool);
+                }
                 finish(Reply.NOT_SENT);
             } else {
                 finish(Reply.LOST);
@@ -271,10 +346,11 @@
             if (close) {
                 IoUtils.safeClose(connection);
             } else if (!finished) {
-                pool.idle.push(connection);
+                pool.idle(connection);
             }
             finish(new Reply(status, body.toByteArray()));
             pool.pump();
+            serveCrowdedOut();
         }
     }
 }
--- a/src/main/java/org/springmill/transport/UndertowServer.java
+++ b/src/main/java/org/springmill/transport/UndertowServer.java
@@ -34,7 +34,7 @@
     private UndertowServer() {
     }
 
-    static int start(XnioWorker worker, ByteBufferPool buffers, Loop loop, InetSocketAddress address, int maxSockets,
+    static int start(XnioWorker worker, ByteBufferPool buffers, Loop loop, InetSocketAddress address, int most,
             HttpHandler handler) throws IOException {
         HttpOpenListener listener = new HttpOpenListener(buffers, OptionMap.builder()
                 .set(UndertowOptions.MAX_HEADER_SIZE, MAX_HEADER_BYTES)
@@ -45,10 +45,11 @@
                 .getMap());
         // Connections past the high mark wait in the backlog: a flood must not take the sockets that this
         // controller needs for the state service, the cloud and the workers' commands.
-        int high = Math.max(16, maxSockets * 6 / 10);
-        Admission admission = new Admission(high - high / 8);
+        Admission admission = new Admission(most - most / 8);
         listener.setRootHandler(exchange -> receive(exchange, loop, call -> {
-            admission.used(exchange.getConnection().getPeerAddress());
+            if (!admission.used(exchange.getConnection())) {
+                exchange.setPersistent(false);
+            }
             handler.handle(call);
         }));
         ChannelListener<AcceptingChannel<StreamConnection>> acceptor = ChannelListeners.openListenerAdapter(connection -> {
@@ -60,8 +61,8 @@
                         .set(Options.TCP_NODELAY, true)
                         .set(Options.REUSE_ADDRESSES, true)
                         .set(Options.BACKLOG, 256)
-                        .set(Options.CONNECTION_HIGH_WATER, high)
-                        .set(Options.CONNECTION_LOW_WATER, high - 4)
+                        .set(Options.CONNECTION_HIGH_WATER, most)
+                        .set(Options.CONNECTION_LOW_WATER, most - 4)
                         .getMap());
         channel.resumeAccepts();
         return channel.getLocalAddress(InetSocketAddress.class).getPort();
--- /dev/null
+++ b/src/test/java/org/springmill/transport/TransportTest.java
@@ -0,0 +1,94 @@
+package org.springmill.transport;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.io.InputStream;
+import java.net.Socket;
+import java.nio.charset.StandardCharsets;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Set;
+import java.util.concurrent.CountDownLatch;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicInteger;
+import org.junit.jupiter.api.Test;
+
+/** Sockets are the first thing that a controller of a large fleet runs out of: bounds on real ones, on loopback. */
+class TransportTest {
+    private static final String REQUEST = "GET /ready HTTP/1.1\r\nHost: x\r\n\r\n";
+
+    /** More workers than places: each is answered, and those without a place are asked to come anew. */
+    @Test
+    void whoeverFindsNoPlaceIsAnsweredAndToldToClose() throws Exception {
+        try (Transport server = new Transport(100, Set.of())) {
+            int port = server.serve("127.0.0.1:0", call -> call.reply(200, new byte[0], 0));
+            List<Socket> workers = new ArrayList<>();
+            int kept = 0;
+            for (int i = 0; i < 80; i++) {
+                Socket worker = new Socket("127.0.0.1", port);
+                workers.add(worker);
+                String answer = ask(worker);
+                assertTrue(answer.startsWith("HTTP/1.1 200"), answer);
+                if (answer.contains("Connection: close")) {
+                    worker.close();
+                } else {
+                    kept++;
+                }
+            }
+            assertEquals(47, kept, "of 60 sockets one in eight is left to newcomers, and one in eight of the rest");
+            for (Socket worker : workers.subList(0, 47)) {
+                assertTrue(ask(worker).startsWith("HTTP/1.1 200"), "a kept connection was pushed out");
+            }
+            for (Socket worker : workers) {
+                worker.close();
+            }
+        }
+    }
+
+    private static String ask(Socket socket) throws Exception {
+        socket.setSoTimeout(10_000);
+        socket.getOutputStream().write(REQUEST.getBytes(StandardCharsets.US_ASCII));
+        InputStream in = socket.getInputStream();
+        StringBuilder head = new StringBuilder();
+        while (!head.toString().endsWith("\r\n\r\n")) {
+            int next = in.read();
+            assertTrue(next >= 0, "closed without an answer");
+            head.append((char) next);
+        }
+        return head.toString();
+    }
+
+    /** More machines than sockets: commands to them wait for a connection and all are sent. */
+    @Test
+    void connectionsToWorkersAreBoundedTogether() throws Exception {
+        int machines = 30;
+        AtomicInteger held = new AtomicInteger();
+        AtomicInteger most = new AtomicInteger();
+        CountDownLatch answered = new CountDownLatch(2 * machines);
+        try (Transport workers = new Transport(1000, Set.of()); Transport controller = new Transport(30, Set.of())) {
+            List<String> addresses = new ArrayList<>();
+            for (int i = 0; i < machines; i++) {
+                addresses.add("127.0.0.1:" + workers.serve("127.0.0.1:0", call -> {
+                    most.accumulateAndGet(held.incrementAndGet(), Math::max);
+                    workers.loop().after(0.01, () -> {
+                        held.decrementAndGet();
+                        call.reply(200, new byte[0], 0);
+                    });
+                }));
+            }
+            controller.loop().after(0, () -> {
+                for (int i = 0; i < 2 * machines; i++) {
+                    controller.client().send(new HttpClient.Request(addresses.get(i % machines), "POST", "/orders",
+                            new byte[] {'{', '}'}, 20), reply -> {
+                                if (reply.ok()) {
+                                    answered.countDown();
+                                }
+                            });
+                }
+            });
+            assertTrue(answered.await(30, TimeUnit.SECONDS), answered.getCount() + " requests are not answered");
+            assertTrue(most.get() <= 9, most + " connections at once");
+        }
+    }
+}
