--- a/src/main/java/org/springmill/control/coordination/Fleet.java
+++ b/src/main/java/org/springmill/control/coordination/Fleet.java
@@ -2,10 +2,13 @@
 
 import java.util.ArrayList;
 import java.util.Collection;
+import java.util.HashSet;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Set;
 import org.springmill.control.storage.ImageNotes;
+import org.springmill.protocol.Submission;
 import org.springmill.protocol.WorkerMessages.Cause;
 import org.springmill.protocol.WorkerMessages.Report;
 import org.springmill.transport.Loop;
@@ -17,9 +20,12 @@
     private final Catalog catalog;
     private final Loop loop;
     private final long term;
+    private final double reportS;
+    private final Set<String> deleted = new HashSet<>();
     private ImageNotes noted = new ImageNotes();
 
-    Fleet(Ledger ledger, Catalog catalog, Loop loop, long term) {
+    Fleet(Ledger ledger, Catalog catalog, Loop loop, Timing timing, long term) {
+        reportS = timing.reportS();
         this.ledger = ledger;
         this.catalog = catalog;
         this.loop = loop;
@@ -58,6 +64,16 @@
         machines.remove(machine.name());
     }
 
+    /** The cloud has confirmed that a machine and everything on it are gone. */
+    void deleted(Machine machine) {
+        deleted.add(machine.name());
+    }
+
+    /** Whether whatever is still heard of a machine is old. */
+    boolean wasDeleted(String name) {
+        return deleted.contains(name);
+    }
+
     /** Takes over what an earlier leader noted of the machines' images. */
     void adopt(ImageNotes notes) {
         noted = notes;
@@ -103,6 +119,12 @@
         }
     }
 
+    /** Has an attempt stopped to make way, with time to save what it can and to be told of it. */
+    void stopSaving(Attempt attempt) {
+        Submission spec = attempt.job().spec();
+        stop(attempt, spec.checkpoints() ? spec.saveS() + reportS : 0);
+    }
+
     /** Has an attempt stopped; what never was sent ends at once. */
     void stop(Attempt attempt, double graceS) {
         switch (attempt.state()) {
--- a/src/main/java/org/springmill/control/coordination/Leader.java
+++ b/src/main/java/org/springmill/control/coordination/Leader.java
@@ -61,7 +61,7 @@
         this.peers = peers;
         this.catalog = catalog;
         ledger = new Ledger(settings);
-        fleet = new Fleet(ledger, catalog, loop, leadership.term());
+        fleet = new Fleet(ledger, catalog, loop, timing, leadership.term());
         log = new RoundLog(store, loop, leadership.condition(), id -> ledger.job(id) != null && ledger.job(id).active());
         settling = new Settling(fleet, timing, peers, metrics, this::wake, leadership::deposed);
         orders = new Orders(fleet, http, timing, settling::accept);
@@ -344,6 +344,11 @@
 
     /** Answers a worker's report. */
     void report(Call call, Report report) {
+        if (fleet.wasDeleted(report.machine())) {
+            // A late copy. The machine that it seemed to bring back was given work, which waited until it was missed.
+            call.reply(503, WorkerMessages.redirect(null), 0);
+            return;
+        }
         Machine machine = fleet.machine(report);
         if (!machine.isLatestReport(report)) {
             // A late copy: whoever sent it waits no longer, and its answer must not count as a renewal.
--- a/src/main/java/org/springmill/control/coordination/Placement.java
+++ b/src/main/java/org/springmill/control/coordination/Placement.java
@@ -278,7 +278,7 @@
             Submission spec = victim.job().spec();
             LOG.debug("{} of {} gives way to {} of {} on {}", victim.claim().task(), spec.team(), job.id(),
                     job.spec().team(), machine.name());
-            fleet.stop(victim, spec.checkpoints() ? spec.saveS() + timing.reportS() : 0);
+            fleet.stopSaving(victim);
         }
     }
 
--- a/src/main/java/org/springmill/control/coordination/Rentals.java
+++ b/src/main/java/org/springmill/control/coordination/Rentals.java
@@ -18,7 +18,6 @@
 import org.springmill.protocol.CloudMessages.MachineType;
 import org.springmill.protocol.Settings;
 import org.springmill.protocol.Submission;
-import org.springmill.protocol.WorkerMessages;
 import org.springmill.protocol.WorkerMessages.Cause;
 import org.springmill.transport.HttpClient;
 import org.springmill.transport.HttpClient.Reply;
@@ -34,8 +33,8 @@
     private static final double DARK_LEASES = 10;
     /** A machine with less of it free is not drained. */
     private static final double DRAIN_FREE = 0.5;
-    /** This share of the fleet may fall silent at once and be taken for dead like single machines. */
-    private static final double FAILING = 0.25;
+    /** This share of the fleet, a rack, may fall silent at once and be taken for dead like single machines. */
+    private static final double FAILING = 1 / 3.0;
     /** Room for the replicas of such a share may cost this part of what the fleet costs, for each class. */
     private static final double INSURANCE = 0.01;
     private static final byte[] EMPTY = new byte[0];
@@ -53,7 +52,6 @@
     private final Map<String, Double> refusedUntil = new HashMap<>();
     private final List<Request> unresolved = new ArrayList<>();
     private final Set<String> darkZones = new HashSet<>();
-    private final Set<String> returned = new HashSet<>();
     private final List<Machine> toDelete = new ArrayList<>();
     private final double startedAt;
     private double listeningSince;
@@ -201,7 +199,7 @@
         boolean firstList = listedAt == Double.NEGATIVE_INFINITY;
         listedAt = now;
         for (ListedMachine listed : found) {
-            if (returned.contains(listed.name())) {
+            if (fleet.wasDeleted(listed.name())) {
                 continue;
             }
             Machine machine = fleet.machine(listed.name());
@@ -243,27 +241,22 @@
                 silent += quiet(machine, now) ? 1 : 0;
             }
         }
-        // Many at once may mean that this controller is cut off; by the time at which another one would have heard of
-        // them, and has not, they are a rack that is gone.
         boolean fewSilent = silent <= Math.max(1, up * FAILING);
-        boolean unheardOf = peers.allHeard() && peers.workersElsewhere() <= silent / 4;
-        double deadAfterS = fewSilent ? timing.silentS()
-                : unheardOf ? timing.silentS() + WorkerMessages.TURNS_ELSEWHERE_S : Double.POSITIVE_INFINITY;
         for (Machine machine : fleet.machinesNow()) {
             if (machine.type() != null) {
-                tend(machine, now, deadAfterS);
+                tend(machine, now, fewSilent);
             }
         }
         refusedUntil.values().removeIf(until -> until < now);
         plan(now);
     }
 
-    private void tend(Machine machine, double now, double deadAfterS) {
+    private void tend(Machine machine, double now, boolean fewSilent) {
         boolean dark = darkZones.contains(machine.zone());
         switch (machine.state()) {
             case EXPECTED -> {
                 boolean waited = now - startedAt > timing.othersS() + 2 * timing.leaseS();
-                if (asGoodAsDead(machine, now, deadAfterS)) {
+                if (asGoodAsDead(machine, now, fewSilent)) {
                     giveBack(machine, "it neither reports nor answers");
                 } else if (waited && !dark && !machine.attempts().isEmpty()) {
                     // Its worker never reported to this leader, and with no word from every other controller its
@@ -279,7 +272,7 @@
                 }
             }
             case UP -> {
-                if (asGoodAsDead(machine, now, deadAfterS)) {
+                if (asGoodAsDead(machine, now, fewSilent)) {
                     giveBack(machine, "it neither reports nor answers");
                 } else if (machine.quarantined() && machine.attempts().isEmpty()) {
                     giveBack(machine, "it fails what it starts");
@@ -347,13 +340,13 @@
     }
 
     /**
-     * Deletion proves that what a silent machine ran is gone, well before its lease could. It takes longer to decide when
-     * many listed machines are silent at once: it may be this controller that is cut off, or their zone.
+     * Deletion proves that what a silent machine ran is gone, well before its lease could. Not when many listed
+     * machines are silent at once: this controller may be cut off, or they may. What they run is lost only with their
+     * leases, and by then their silence proves it; deleting a fleet that was out of reach for 15 s cost it all it ran.
      */
-    private boolean asGoodAsDead(Machine machine, double now, double deadAfterS) {
-        boolean silent = unlisted(machine) ? quietFor(machine, now) > timing.silentS()
-                : quietFor(machine, now) > deadAfterS && !darkZones.contains(machine.zone());
-        return silent && machine.ordersFailing() && !machine.attempts().isEmpty();
+    private boolean asGoodAsDead(Machine machine, double now, boolean fewSilent) {
+        return quietFor(machine, now) > timing.silentS() && machine.ordersFailing() && !machine.attempts().isEmpty()
+                && (unlisted(machine) || fewSilent && !darkZones.contains(machine.zone()));
     }
 
     private void plan(double now) {
@@ -451,12 +444,13 @@
             return;
         }
         Bin best = null;
+        Map<MachineType, Boolean> bound = new HashMap<>();
         for (Bin bin : room) {
-            boolean settled = bin.machine.attempts().stream().allMatch(
-                    a -> a.state() == Attempt.State.RUNNING && now - a.runningSince() > 3 * timing.leaseS());
-            boolean candidate = !bin.used && bin.rank() == 0 && bin.free() >= DRAIN_FREE
-                    && !demand.boundToImages(bin.type);
-            if (candidate && settled && (best == null || bin.saves() > best.saves())) {
+            boolean candidate = !bin.used && bin.free() >= DRAIN_FREE && bin.rank() == 0
+                    && (best == null || bin.saves() > best.saves())
+                    && !bound.computeIfAbsent(bin.type, demand::boundToImages);
+            if (candidate && bin.machine.attempts().stream().allMatch(
+                    a -> a.state() == Attempt.State.RUNNING && now - a.runningSince() > 3 * timing.leaseS())) {
                 best = bin;
             }
         }
@@ -466,10 +460,7 @@
         LOG.info("draining {}: {} tasks move", best.machine.name(), best.machine.attempts().size());
         drainedAt = now;
         best.machine.drain();
-        for (Attempt attempt : best.machine.attemptsNow()) {
-            Submission spec = attempt.job().spec();
-            fleet.stop(attempt, spec.checkpoints() ? spec.saveS() + timing.reportS() : 0);
-        }
+        best.machine.attemptsNow().forEach(fleet::stopSaving);
     }
 
     /** Whether everything on a machine finds room in the same zone on machines that hold its images. Fills the bins. */
@@ -659,7 +650,7 @@
                 return;
             }
             for (Machine machine : due) {
-                returned.add(machine.name());
+                fleet.deleted(machine);
                 gone(machine);
                 machine.transition(Machine.State.GONE);
             }
--- a/src/main/java/org/springmill/control/storage/RoundLog.java
+++ b/src/main/java/org/springmill/control/storage/RoundLog.java
@@ -46,7 +46,7 @@
     /** What one claim or end takes at most, roughly; bounds how many go into a round. */
     private static final int ITEM_BYTES = 128;
     private static final int MAX_COMMIT_BYTES = 48 * 1024;
-    /** A leader reads all rounds when it takes over: no more of them than come in one page. */
+    /** A leader reads all rounds when it takes over: no more of them than come in a few pages. */
     private static final int MAX_ROUNDS = 500;
 
     private final StateStore store;
--- a/src/main/java/org/springmill/protocol/WorkerMessages.java
+++ b/src/main/java/org/springmill/protocol/WorkerMessages.java
@@ -11,9 +11,6 @@
     public static final String REPORT = "/v1/report";
     public static final String ORDERS = "/orders";
 
-    /** A worker waits 4 s for an answer and tries the next controller 1 s later. */
-    public static final double TURNS_ELSEWHERE_S = 5;
-
     private WorkerMessages() {
     }
 
--- a/src/test/java/org/springmill/control/coordination/FailureTest.java
+++ b/src/test/java/org/springmill/control/coordination/FailureTest.java
@@ -191,6 +191,47 @@
         assertEquals(4, world.running(JOB));
     }
 
+    /** A late copy must not bring a deleted machine back, to be given work that waits until it is missed again. */
+    @Test
+    void lateCopiesDoNotBringDeletedMachinesBack() {
+        List<Request> copies = new ArrayList<>();
+        world.network().judge((from, request) -> {
+            if (request.path().equals("/v1/report")) {
+                copies.add(request);
+            }
+            return Fate.DELIVER;
+        });
+        world.run(5);
+        List<Request> old = List.copyOf(copies);
+        world.cloud().runOut();
+        for (int i = 0; i < 60 && !world.cloud().machines().isEmpty(); i++) {
+            world.run(5);
+        }
+        assertEquals(0, world.cloud().machines().size(), "idle machines go back");
+        old.forEach(world.network()::repeat);
+        assertEquals(201, world.submit(0, World.job(JOB, "red", "service", 1, 1, 1), Double.POSITIVE_INFINITY));
+        world.run(3);
+        assertEquals(0, world.state().keysUnder("round/").size(), "nothing is placed where no machine is");
+    }
+
+    /** What is out of reach for less than a lease keeps what it runs, be it the whole fleet. */
+    @ParameterizedTest
+    @ValueSource(doubles = {3, 5, 8})
+    void aFleetThatIsOutOfReachForAWhileIsNotDeleted(double forS) {
+        world.submit(0, World.job(JOB, "blue", "service", 8, 1, 4), Double.POSITIVE_INFINITY);
+        world.run(8);
+        int before = world.cloud().machines().size();
+        world.network().judge((from, request) -> from.startsWith("host-") || request.path().equals("/orders")
+                ? Fate.DROP : Fate.DELIVER);
+        world.run(forS);
+        world.network().judge((from, request) -> Fate.DELIVER);
+        world.run(30);
+        assertEquals(before, world.cloud().machines().size());
+        for (int i = 0; i < 8; i++) {
+            assertEquals(1, world.starts(JOB + "/" + i), "task " + i);
+        }
+    }
+
     @Test
     void replicasOfASilentMachineMoveBeforeItsLeaseCouldEnd() {
         world.submit(0, World.job(JOB, "red", "service", 1, 1, 1), Double.POSITIVE_INFINITY);
