--- a/src/main/java/org/springmill/control/storage/RoundLog.java
+++ b/src/main/java/org/springmill/control/storage/RoundLog.java
@@ -94,7 +94,9 @@
 
     /** How many claims and ends one round may hold. */
     public int capacity() {
-        return MAX_COMMIT_BYTES / 2 / ITEM_BYTES;
+        // Half for claims, half for ends. Where values are small, as many as one transaction may write.
+        int values = Math.max(1, store.limits().writesPerCommit() - 2);
+        return (int) Math.min(MAX_COMMIT_BYTES, values * store.limits().valueBytes() * FILL) / 2 / ITEM_BYTES;
     }
 
     public int rounds() {
--- a/src/main/java/org/springmill/protocol/Settings.java
+++ b/src/main/java/org/springmill/protocol/Settings.java
@@ -36,6 +36,10 @@
     }
 
     public record State(double requestsPerS, double writesPerS, int valueBytes, int writesPerCommit) {
+        /** Bursts are worth one second: a transaction larger than that, less what others write, would never be taken. */
+        public State {
+            writesPerCommit = Math.max(1, Math.min(writesPerCommit, (int) (writesPerS * 0.6)));
+        }
     }
 
     public record Cloud(double requestsPerS, double listLagS) {
--- a/src/main/java/org/springmill/protocol/SettingsFile.java
+++ b/src/main/java/org/springmill/protocol/SettingsFile.java
@@ -64,14 +64,15 @@
                         positive(workers, "lease_s", "cluster.workers."),
                         positive(workers, "cancel_s", "cluster.workers.")),
                 new Settings.State(positive(state, "rps", "cluster.state."),
-                        positive(state, "write_rps", "cluster.state."),
-                        (int) (positive(state, "value_kb", "cluster.state.") * 1024),
-                        (int) positive(state, "txn_ops", "cluster.state.")),
+                        atLeast(state, "write_rps", "cluster.state.", 5, "for rounds beside the leader's record"),
+                        (int) (atLeast(state, "value_kb", "cluster.state.", 2, "for the largest submission") * 1024),
+                        (int) atLeast(state, "txn_ops", "cluster.state.", 4, "for a round that replaces older ones")),
                 new Settings.Cloud(positive(cloud, "rps", "cluster.cloud."),
                         number(cloud, "list_lag_s", "cluster.cloud.")),
                 new Settings.Limits(positive(limits, "cpu_share", "cluster.machine_limits."),
-                        positive(limits, "ram_mb", "cluster.machine_limits."),
-                        (int) positive(limits, "max_sockets", "cluster.machine_limits.")), operator);
+                        atLeast(limits, "ram_mb", "cluster.machine_limits.", 100, "for the process with its heap"),
+                        (int) atLeast(limits, "max_sockets", "cluster.machine_limits.", 64,
+                                "for the state service, the cloud, the other controllers, users and workers")), operator);
     }
 
     private List<Settings.Team> teams(JsonNode cluster) throws SettingsException {
@@ -147,6 +148,16 @@
         return node.doubleValue();
     }
 
+    /** A limit too small to serve at all stops the start, rather than let the service fail by and by. */
+    private double atLeast(JsonNode parent, String field, String at, double least, String what)
+            throws SettingsException {
+        double value = number(parent, field, at);
+        if (value < least) {
+            throw bad(at + field, "must be at least " + (int) least + ' ' + what);
+        }
+        return value;
+    }
+
     private double positive(JsonNode parent, String field, String at) throws SettingsException {
         double value = number(parent, field, at);
         if (value <= 0) {
--- a/src/test/java/org/springmill/cli/SettingsTest.java
+++ b/src/test/java/org/springmill/cli/SettingsTest.java
@@ -91,6 +91,11 @@
         "rps = 150.0           | rps = -1                 | 2 | cluster.state.rps",
         "cpus = 200.0          | cpus = true              | 2 | cluster.teams[0].cpus",
         "txn_ops = 16          | txn_ops = nan            | 2 | cluster.state.txn_ops",
+        "max_sockets = 800     | max_sockets = 40         | 2 | cluster.machine_limits.max_sockets must be at least 64",
+        "ram_mb = 176.0        | ram_mb = 48              | 2 | cluster.machine_limits.ram_mb must be at least 100",
+        "write_rps = 60.0      | write_rps = 2            | 2 | cluster.state.write_rps must be at least 5",
+        "value_kb = 8.0        | value_kb = 0.5           | 2 | cluster.state.value_kb must be at least 2",
+        "txn_ops = 16          | txn_ops = 1              | 2 | cluster.state.txn_ops must be at least 4",
         "[cluster.cloud]       | [cluster.cloud           | 2 | not valid TOML",
     })
     void settingsAreCheckedWithTheFieldNamed(String from, String to, int code, String says) throws IOException {
--- a/src/test/java/org/springmill/control/coordination/GrowthTest.java
+++ b/src/test/java/org/springmill/control/coordination/GrowthTest.java
@@ -3,11 +3,13 @@
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
+import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
 import org.junit.jupiter.api.Test;
 import org.springmill.sim.SimNetwork.Fate;
+import org.springmill.sim.SimWorker;
 import org.springmill.sim.World;
 
 /** The service at the size to which its deployments have grown: bounds on counted work, never on time. */
@@ -69,11 +71,58 @@
         assertEquals(List.of(), world.broken());
     }
 
-    private static int running(World world) {
+    /** A fleet half as large again as any yet: what a lost rack and a takeover cost is bounded by what they touch. */
+    @Test
+    void aRackOfALargeFleetIsReplacedAndItsLeaderToo() {
+        int machines = 1600;
+        World world = new World().machines("large", "a", machines / 2).machines("large", "b", machines / 2).run(6);
+        world.cloud().runOut();
+        int[] bytes = new int[1];
+        world.network().judge((from, request) -> {
+            counted.merge(request.path(), 1, Integer::sum);
+            bytes[0] = Math.max(bytes[0], request.body().length);
+            return Fate.DELIVER;
+        });
+        int jobs = machines / 4;
+        for (int i = 0; i < jobs; i++) {
+            var job = World.job(String.format("run-%06d", i), "blue", "service", REPLICAS, 4, 0);
+            assertEquals(201, world.submit(i % 3, job, Double.POSITIVE_INFINITY));
+        }
+        world.run(20);
+        assertEquals(jobs * REPLICAS, running(world, jobs));
+
+        counted.clear();
+        int up = world.cloud().machines().size();
+        List<SimWorker> rack = new ArrayList<>(world.cloud().machines().values()).subList(0, up / 5);
+        int lost = rack.stream().mapToInt(SimWorker::running).sum();
+        assertTrue(lost > 0, "the rack ran something");
+        rack.forEach(worker -> worker.hang(true));
+        world.run(9);
+        assertEquals(jobs * REPLICAS, running(world, jobs) - rack.stream().mapToInt(SimWorker::running).sum(),
+                "all that the rack ran is up elsewhere within " + 9 + " s");
+        assertTrue(count("/rentals/delete") <= 12, count("/rentals/delete") + " deletions for a rack of " + rack.size());
+        assertTrue(count("/commit") <= 60, count("/commit") + " commits for " + lost + " replicas");
+        assertTrue(count("/orders") <= 3 * lost + 4 * rack.size(), count("/orders") + " orders for " + lost + " replicas");
+
+        counted.clear();
+        world.kill(world.leader());
+        world.run(12);
+        assertEquals(jobs * REPLICAS, running(world, jobs));
+        assertTrue(count("/orders") <= 4 * up, count("/orders") + " orders at a takeover of " + up);
+        assertTrue(count("/commit") <= 10, count("/commit") + " commits at a takeover");
+        assertTrue(bytes[0] <= 64 * 1024, "a request of " + bytes[0] + " bytes");
+        assertEquals(List.of(), world.broken());
+    }
+
+    private static int running(World world, int jobs) {
         int running = 0;
-        for (int i = 0; i < JOBS; i++) {
+        for (int i = 0; i < jobs; i++) {
             running += world.running(String.format("run-%06d", i));
         }
         return running;
     }
+
+    private static int running(World world) {
+        return running(world, JOBS);
+    }
 }
