--- a/src/main/java/org/springmill/control/coordination/Ledger.java
+++ b/src/main/java/org/springmill/control/coordination/Ledger.java
@@ -76,6 +76,13 @@
             return room(spec, team.cpusMax(), team.gpusMax());
         }
 
+        /** How many tasks the limit allows beside what is kept for others. */
+        int roomBesideHeld(Submission spec) {
+            double cpuBound = team.cpusMax() == 0 ? 0 : Math.max(1e-9, team.cpusMax() - heldCpus);
+            double gpuBound = team.gpusMax() == 0 ? 0 : Math.max(1e-9, team.gpusMax() - heldGpus);
+            return room(spec, cpuBound, gpuBound);
+        }
+
         int guaranteedRoomFor(Submission spec) {
             return room(spec, team.cpus(), team.gpus());
         }
--- a/src/main/java/org/springmill/control/coordination/Machine.java
+++ b/src/main/java/org/springmill/control/coordination/Machine.java
@@ -59,6 +59,8 @@
     private List<TaskReport> reported = List.of();
     private boolean quarantined;
     private boolean draining;
+    private final Set<Job> keptFor = new HashSet<>();
+    private double keptUntil;
     private double usedCpus;
     private double usedGpus;
     private double usedMemory;
@@ -344,6 +346,25 @@
                 && now - lastHeard < quietS && now >= avoidUntil && termOf(seenToken) == termOf(token);
     }
 
+    /**
+     * Keeps the room that is being made here for jobs that others gave way to. Tasks stop one by one: whatever found room
+     * between them, mostly the one just stopped, had to be stopped again, dozens of times a second.
+     */
+    void keepFor(Job job, double until) {
+        keptFor.add(job);
+        keptUntil = Math.max(keptUntil, until);
+    }
+
+    /** Whether room here is kept for other jobs than this one. */
+    boolean keptFrom(Job job, double now) {
+        if (now >= keptUntil) {
+            keptFor.clear();
+        } else {
+            keptFor.removeIf(other -> !other.active() || other.nextTask() < 0);
+        }
+        return !keptFor.isEmpty() && !keptFor.contains(job);
+    }
+
     /** Notes that a task that is to start here needs its image. */
     void needsImage(Submission spec, double now) {
         images.need(spec.image(), spec.imageGb(), type == null ? 0 : type.cacheGb(), fetchGbPerS(), now);
--- a/src/main/java/org/springmill/control/coordination/Placement.java
+++ b/src/main/java/org/springmill/control/coordination/Placement.java
@@ -179,7 +179,8 @@
 
     /** A holder of the image first, then the quickest fetch; among equals the one with most free room. */
     private double placingCost(Job job, Machine machine, double now) {
-        return machine.hasRoom(job.spec()) && eligible(job, machine) ? score(job, machine, now)
+        return machine.hasRoom(job.spec()) && eligible(job, machine) && !machine.keptFrom(job, now)
+                ? score(job, machine, now)
                 : Double.POSITIVE_INFINITY;
     }
 
@@ -237,14 +238,23 @@
     void preempt() {
         double now = fleet.now();
         List<Job> waiting = waiting();
-        waiting.removeIf(job -> now < job.notBefore() || !mayStopAny(job));
-        if (waiting.isEmpty()) {
+        waiting.removeIf(job -> now < job.notBefore());
+        if (waiting.stream().noneMatch(this::mayStopAny)) {
             return;
         }
         List<Machine> open = open(now);
         Map<Machine, double[]> promised = new HashMap<>();
+        fleet.ledger().releaseHeld();
         for (Job job : waiting) {
-            int wanted = Math.min(job.waiting(), usage(job).roomFor(job.spec()));
+            // By the same measure as placement: tasks gave way, without end, to a job whose part of its team's limit was
+            // held for an earlier one.
+            int wanted = Math.min(job.waiting(), usage(job).roomBesideHeld(job.spec()));
+            if (job.spec().service() && wanted > 0) {
+                usage(job).hold(job.spec(), job.waiting());
+            }
+            if (!mayStopAny(job)) {
+                continue;
+            }
             int guaranteed = usage(job).guaranteedRoomFor(job.spec());
             int[] made = new int[1];
             Ranking ranking = new Ranking(open, machine -> eligible(job, machine)
@@ -274,12 +284,15 @@
         taken[0] += job.spec().cpus();
         taken[1] += job.spec().gpus();
         taken[2] += job.spec().memoryGb();
+        double savingS = 0;
         for (Attempt victim : victims) {
             Submission spec = victim.job().spec();
+            savingS = Math.max(savingS, spec.saveS());
             LOG.debug("{} of {} gives way to {} of {} on {}", victim.claim().task(), spec.team(), job.id(),
                     job.spec().team(), machine.name());
             fleet.stopSaving(victim);
         }
+        machine.keepFor(job, now + savingS + timing.reportS());
     }
 
     /** Cost of making room on one machine; infinite if it cannot be done. */
--- a/src/test/java/org/springmill/control/coordination/FailureTest.java
+++ b/src/test/java/org/springmill/control/coordination/FailureTest.java
@@ -764,6 +764,23 @@
         }
     }
 
+    /** Who cannot be placed, for its part of the limit is kept for an earlier job, has nobody stopped in its favour. */
+    @Test
+    void nobodyGivesWayToAJobThatItsTeamsLimitHoldsBack() {
+        World small = new World().machines("large", "a", 4).run(6);
+        small.cloud().runOut();
+        small.submit(0, World.job(JOB, "blue", "service", 32, 1, 1), Double.POSITIVE_INFINITY);
+        small.run(8);
+        var elsewhere = World.job("run-000002", "red", "service", 16, 1, 1);
+        small.submit(0, elsewhere.put("yard", "b"), Double.POSITIVE_INFINITY);
+        small.submit(0, World.job("run-000003", "red", "service", 4, 1, 1), Double.POSITIVE_INFINITY);
+        small.run(20);
+        for (int i = 0; i < 32; i++) {
+            assertEquals(1, small.starts(JOB + "/" + i), "task " + i);
+        }
+        assertEquals(32, small.running(JOB));
+    }
+
     @Test
     void aNoticedMachineIsLeftInTime() {
         world.submit(0, World.job(JOB, "red", "service", 1, 1, 1), Double.POSITIVE_INFINITY);
