One sort of the waiting jobs per tick, one measure of a team's room; nothing changes in behaviour

Read once more: the tick sorted the waiting jobs a second time before draining, summed the fleet's cost for each class, and a team's room beside what is kept had bounds of its own.

--- a/src/main/java/org/springmill/control/coordination/Ledger.java
+++ b/src/main/java/org/springmill/control/coordination/Ledger.java
@@ -73,23 +73,21 @@
         }
 
         int roomFor(Submission spec) {
-            return room(spec, team.cpusMax(), team.gpusMax());
+            return room(spec, team.cpusMax(), team.gpusMax(), cpus, gpus);
         }
 
         /** How many tasks the limit allows beside what is kept for others. */
         int roomBesideHeld(Submission spec) {
-            double cpuBound = team.cpusMax() == 0 ? 0 : Math.max(1e-9, team.cpusMax() - heldCpus);
-            double gpuBound = team.gpusMax() == 0 ? 0 : Math.max(1e-9, team.gpusMax() - heldGpus);
-            return room(spec, cpuBound, gpuBound);
+            return room(spec, team.cpusMax(), team.gpusMax(), cpus + heldCpus, gpus + heldGpus);
         }
 
         int guaranteedRoomFor(Submission spec) {
-            return room(spec, team.cpus(), team.gpus());
+            return room(spec, team.cpus(), team.gpus(), cpus, gpus);
         }
 
-        private int room(Submission spec, double cpuBound, double gpuBound) {
-            double byCpus = cpuBound == 0 || spec.cpus() == 0 ? 1e9 : (cpuBound - cpus + 1e-6) / spec.cpus();
-            double byGpus = gpuBound == 0 || spec.gpus() == 0 ? 1e9 : (gpuBound - gpus + 1e-6) / spec.gpus();
+        private static int room(Submission spec, double cpuBound, double gpuBound, double usedCpus, double usedGpus) {
+            double byCpus = cpuBound == 0 || spec.cpus() == 0 ? 1e9 : (cpuBound - usedCpus + 1e-6) / spec.cpus();
+            double byGpus = gpuBound == 0 || spec.gpus() == 0 ? 1e9 : (gpuBound - usedGpus + 1e-6) / spec.gpus();
             return (int) Math.max(0, Math.floor(Math.min(byCpus, byGpus)));
         }
     }
--- a/src/main/java/org/springmill/control/coordination/Machine.java
+++ b/src/main/java/org/springmill/control/coordination/Machine.java
@@ -299,7 +299,8 @@
         if (attempts.remove(attempt.claim().task(), attempt)) {
             charge(attempt.job().spec(), -1);
             String image = attempt.job().spec().image();
-            if (attempt.runningSince() == 0 && attempts.values().stream().noneMatch(a -> a.job().spec().image().equals(image))) {
+            if (attempt.runningSince() == 0
+                    && attempts.values().stream().noneMatch(a -> a.job().spec().image().equals(image))) {
                 images.abandon(image, now);
             }
             if (attempts.isEmpty()) {
--- a/src/main/java/org/springmill/control/coordination/Rentals.java
+++ b/src/main/java/org/springmill/control/coordination/Rentals.java
@@ -59,7 +59,7 @@
     private double allHeardAt;
     private double missedAt = Double.NEGATIVE_INFINITY;
     private double listedAt = Double.NEGATIVE_INFINITY;
-    private boolean first;
+    private boolean firstTerm;
     private int requests;
     /** Machines that this tick's plan would rent. */
     private int planned;
@@ -146,7 +146,7 @@
 
     /** @param firstTerm whether no earlier leader can have rented anything */
     void start(boolean firstTerm) {
-        first = firstTerm;
+        this.firstTerm = firstTerm;
         list();
     }
 
@@ -351,7 +351,7 @@
 
     private void plan(double now) {
         planned = 0;
-        if (!first && now - startedAt < settings.cloud().listLagS() * 2) {
+        if (!firstTerm && now - startedAt < settings.cloud().listLagS() * 2) {
             // Machines rented just before a change of leader may not be listed yet.
             return;
         }
@@ -371,7 +371,8 @@
                 .thenComparingDouble(Bin::free));
         Map<String, Integer> machinesIn = new HashMap<>();
         fleet.machines().forEach(machine -> machinesIn.merge(machine.zone(), 1, Integer::sum));
-        for (Job job : placement.waiting()) {
+        List<Job> waiting = placement.waiting();
+        for (Job job : waiting) {
             if (job.machinesFailedOn() > 2) {
                 continue;
             }
@@ -382,13 +383,17 @@
             }
             pack(job.spec(), wanted, zones, room, machinesIn, now);
         }
-        for (Submission job : demand.urgent(slowestBootS())) {
-            int expected = demand.expected(job.jobClass(), slowestBootS(), now);
-            keepReady(job, expected + insured(job), room, machinesIn, now);
+        double bootS = slowestBootS();
+        double budget = INSURANCE * fleetCost();
+        for (Submission job : demand.urgent(bootS)) {
+            int expected = demand.expected(job.jobClass(), bootS, now);
+            keepReady(job, expected + insured(job, budget), room, machinesIn, now);
         }
         rent(room);
         returnIdle(room, now);
-        drainOne(room, now);
+        if (waiting.isEmpty()) {
+            drainOne(room, now);
+        }
     }
 
     /**
@@ -397,7 +402,7 @@
      * large replicas it is none to speak of. Small ones lost with a rack otherwise wait for a boot, behind large ones
      * that take the new machines.
      */
-    private int insured(Submission job) {
+    private int insured(Submission job, double budget) {
         if (!job.service()) {
             return 0;
         }
@@ -405,17 +410,22 @@
         for (Job other : fleet.ledger().jobs().values()) {
             running += other.spec().jobClass().equals(job.jobClass()) ? other.liveCount() : 0;
         }
-        double cost = 0;
-        for (Machine machine : fleet.machines()) {
-            cost += machine.type() == null ? 0 : machine.type().price(machine.spot());
-        }
         double each = Double.POSITIVE_INFINITY;
         for (MachineType type : fleet.catalog().all()) {
             if (type.fits(job)) {
                 each = Math.min(each, type.price() / type.holds(job));
             }
         }
-        return (int) Math.min(running * FAILING, INSURANCE * cost / Math.max(1e-6, each));
+        return (int) Math.min(running * FAILING, budget / Math.max(1e-6, each));
+    }
+
+    /** What all machines cost by the hour. */
+    private double fleetCost() {
+        double cost = 0;
+        for (Machine machine : fleet.machines()) {
+            cost += machine.type() == null ? 0 : machine.type().price(machine.spot());
+        }
+        return cost;
     }
 
     /** Keeps room for so many tasks of a class; in equal parts in all zones where its jobs have to be spread. */
@@ -437,7 +447,6 @@
      */
     private void drainOne(List<Bin> room, double now) {
         boolean calm = now - startedAt > 2 * timing.leaseS() && now - drainedAt > 2 * timing.reportS()
-                && placement.waiting().isEmpty()
                 && room.stream().noneMatch(bin -> bin.machine == null)
                 && fleet.machines().stream().noneMatch(m -> quiet(m, now) || m.draining() && !m.attempts().isEmpty());
         if (!calm) {
@@ -525,7 +534,8 @@
             }
             int used = Math.min(tasks, type.holds(spec));
             for (String zone : type.zones()) {
-                if (darkZones.contains(zone) || spec.zone() != null && !spec.zone().equals(zone) || zones.getOrDefault(zone, 0) >= spec.perZone()) {
+                if (darkZones.contains(zone) || spec.zone() != null && !spec.zone().equals(zone)
+                        || zones.getOrDefault(zone, 0) >= spec.perZone()) {
                     continue;
                 }
                 for (boolean spot : spec.spot() ? new boolean[] {true, false} : new boolean[] {false}) {
--- a/src/main/java/org/springmill/control/coordination/Settling.java
+++ b/src/main/java/org/springmill/control/coordination/Settling.java
@@ -8,7 +8,6 @@
 import org.springmill.protocol.WorkerMessages.Cause;
 import org.springmill.protocol.WorkerMessages.Report;
 import org.springmill.protocol.WorkerMessages.TaskReport;
-import org.springmill.protocol.WorkerMessages.TaskState;
 
 /**
  * Decides from workers' messages, and from their silence, which attempts stand and which are proven gone. A task may
--- a/src/main/java/org/springmill/control/coordination/Timing.java
+++ b/src/main/java/org/springmill/control/coordination/Timing.java
@@ -18,7 +18,8 @@
  * @param cancelDeleteS a cancelled task not gone by then has its machine deleted
  */
 record Timing(double leaderTtlS, double renewS, double graceS, double confirmS, double pingS, double stateTimeoutS,
-        double leaseS, double reportS, double claimWindowS, double probeS, double quietS, double silentS, double orderTimeoutS, double cancelDeleteS) {
+        double leaseS, double reportS, double claimWindowS, double probeS, double quietS, double silentS,
+        double orderTimeoutS, double cancelDeleteS) {
 
     /** Drift of two clocks against each other, doubled, and timers that fire late. */
     private static final double DRIFT = 1.002;
--- a/src/test/java/org/springmill/control/coordination/PeersTest.java
+++ b/src/test/java/org/springmill/control/coordination/PeersTest.java
@@ -13,7 +13,6 @@
 import org.springmill.protocol.PeerMessages.Status;
 import org.springmill.protocol.Settings;
 import org.springmill.sim.VirtualClock;
-import org.springmill.transport.Loop;
 import org.springmill.transport.PeerLink;
 
 class PeersTest {
@@ -42,23 +41,7 @@
                 listener = taker;
             }
         };
-        Loop loop = new Loop() {
-            @Override
-            public double now() {
-                return clock.now();
-            }
-
-            @Override
-            public double timeOfDay() {
-                return clock.timeOfDay();
-            }
-
-            @Override
-            public Timer after(double seconds, Runnable task) {
-                return clock.after(seconds, task);
-            }
-        };
-        Peers peers = new Peers(link, loop, settings, Timing.of(settings),
+        Peers peers = new Peers(link, clock, settings, Timing.of(settings),
                 () -> new Status("n-0", 0, 0, true, leading, true, 0, false, 0, term));
         peers.start();
         return peers;
