Cancellations travel between controllers, and nobody renews leases past what it knows

Cause: a leader refused by the state service alone is borne out by its peers and keeps its workers for a whole outage, never learning of cancellations that another controller committed just before. Fields are appended to the status record; a new kind of record is ignored by the version before. - Whoever renews a lease (leader, leader in doubt, leader that rebuilds, stand-in) stops what it knows to be cancelled. - Past the horizon of what it knows a controller answers no report, but for a zone that is cut off. - Deletion for an overdue cancellation no longer waits for a leader that is sure of its lease.

--- a/src/main/java/org/springmill/control/coordination/Controller.java
+++ b/src/main/java/org/springmill/control/coordination/Controller.java
@@ -10,6 +10,7 @@
 import org.springmill.control.storage.StateStore;
 import org.springmill.protocol.BadMessageException;
 import org.springmill.protocol.PeerMessages.JobProgress;
+import org.springmill.protocol.PeerMessages.News;
 import org.springmill.protocol.PeerMessages.Progress;
 import org.springmill.protocol.PeerMessages.Status;
 import org.springmill.protocol.Settings;
@@ -36,6 +37,7 @@
     private final Catalog catalog;
     private final Peers peers;
     private final Leadership leadership;
+    private final Horizon horizon;
     private final StandIn standIn;
     private final UserApi users;
     private final Metrics metrics;
@@ -51,9 +53,10 @@
         timing = Timing.of(settings);
         metrics = new Metrics(loop);
         store = new StateStore(http, loop, settings, timing.stateTimeoutS());
-        directory = new JobDirectory(store, loop, timing);
+        directory = new JobDirectory(store, loop, timing, random.nextInt());
         catalog = new Catalog(http, loop, settings);
-        peers = new Peers(link, loop, settings, timing, this::status);
+        peers = new Peers(link, loop, settings, timing, directory, this::status);
+        horizon = new Horizon(directory, peers, loop, timing);
         String incarnation = Long.toHexString(random.nextLong());
         leadership = new Leadership(store, loop, settings, timing, peers, incarnation, new Leadership.Listener() {
             @Override
@@ -68,8 +71,8 @@
                 leader = null;
             }
         });
-        standIn = new StandIn(store, peers, leadership, loop, timing);
-        users = new UserApi(directory, store, catalog, loop, timing, this::progressOf, metrics,
+        standIn = new StandIn(store, peers, leadership, horizon, loop, timing);
+        users = new UserApi(directory, store, catalog, loop, timing, this::progressOf, peers::tell, metrics,
                 settings.operator().pendingSubmissions());
         directory.onChange(this::jobChanged);
         peers.onProgress(this::progressReceived);
@@ -78,6 +81,7 @@
         metrics.gauge("leading", leadership, l -> l.mayPlace() ? 1 : 0);
         metrics.gauge("state.reachable", store, s -> s.reachable() ? 1 : 0);
         metrics.gauge("state.backlog", store, StateStore::backlog);
+        metrics.gauge("cancellations.age", horizon, Horizon::age);
         metrics.gauge("jobs.known", directory, d -> d.all().size());
         metrics.gauge("tasks.waiting", this, c -> c.leader == null ? 0 : c.leader.waitingTasks());
         metrics.gauge("tasks.running", this, c -> c.leader == null ? 0 : c.leader.runningTasks());
@@ -92,11 +96,15 @@
         leadership.start();
         catalog.start();
         directory.start();
+        horizon.start();
     }
 
     @Override
     public void handle(Call call) {
         String path = call.path();
+        if (!path.equals(WorkerMessages.REPORT)) {
+            standIn.reachedByUsers();
+        }
         if (path.equals(WorkerMessages.REPORT)) {
             if (call.method().equals("POST")) {
                 report(call);
@@ -135,7 +143,7 @@
         double since = loop.now() - 2 * timing.quietS();
         strayWorkers.values().removeIf(at -> at < since);
         return new Status(settings.node(), 0, 0, store.reachable(), leadership.mayAnswer(), leadership.informed(),
-                strayWorkers.size(), false, 0, leadership.knownTerm());
+                strayWorkers.size(), false, 0, leadership.knownTerm(), News.NONE);
     }
 
     private void report(Call call) {
@@ -146,12 +154,13 @@
             call.reply(400, UserMessages.error(e.getMessage()), 0);
             return;
         }
-        if (leader != null && leadership.mayAnswer()) {
+        if (leader != null && leadership.mayAnswer() && horizon.covers()) {
             leader.report(call, report);
             return;
         }
         if (standIn.keeps(report, leader != null)) {
-            call.reply(200, WorkerMessages.reportAnswer(report.token(), List.of()), 0);
+            // Ordering nothing but an end that is final: whoever renews a lease may not leave cancelled tasks alone.
+            call.reply(200, WorkerMessages.reportAnswer(report.token(), directory.stopsFor(report)), 0);
             return;
         }
         // Not those kept just now: after a cut they would seem to be lost to a leader that merely could not be reached.
--- a/src/main/java/org/springmill/control/coordination/JobDirectory.java
+++ b/src/main/java/org/springmill/control/coordination/JobDirectory.java
@@ -11,8 +11,15 @@
 import org.springmill.control.storage.JobRecord;
 import org.springmill.control.storage.StateStore;
 import org.springmill.protocol.BadMessageException;
+import org.springmill.protocol.PeerMessages.Cancellation;
+import org.springmill.protocol.PeerMessages.News;
 import org.springmill.protocol.StateMessages.Change;
 import org.springmill.protocol.StateMessages.Entry;
+import org.springmill.protocol.UserMessages.Phase;
+import org.springmill.protocol.WorkerMessages.Command;
+import org.springmill.protocol.WorkerMessages.Stop;
+import org.springmill.protocol.WorkerMessages.Report;
+import org.springmill.protocol.WorkerMessages.TaskState;
 import org.springmill.transport.Loop;
 
 /**
@@ -34,8 +41,12 @@
     private boolean reading;
     private boolean loaded;
     private long cursor;
+    private final Cancellations cancellations;
+    private double currentAt = Double.NEGATIVE_INFINITY;
 
-    JobDirectory(StateStore store, Loop loop, Timing timing) {
+    /** @param tag tells this process from earlier ones of the same controller */
+    JobDirectory(StateStore store, Loop loop, Timing timing, int tag) {
+        cancellations = new Cancellations(tag);
         this.store = store;
         this.loop = loop;
         this.timing = timing;
@@ -43,6 +54,7 @@
     }
 
     void start() {
+        double asked = loop.now();
         store.list(JobRecord.PREFIX, page -> {
             if (page == null) {
                 loop.after(timing.renewS(), this::start);
@@ -52,6 +64,7 @@
                 apply(new Change(entry.key(), entry.value(), entry.version()));
             }
             cursor = Math.max(cursor, page.revision());
+            currentAt = Math.max(currentAt, asked);
             if (!loaded) {
                 loaded = true;
                 LOG.info("{} jobs known", jobs.size());
@@ -81,10 +94,58 @@
         JobRecord known = jobs.get(job.id());
         if (known == null || known.version() < job.version()) {
             jobs.put(job.id(), job);
+            if (job.phase() == Phase.CANCELLED) {
+                cancellations.add(new Cancellation(job.id(), job.version(), job.endedAt()));
+            }
             listener.accept(job);
+            Cancellation told = cancellations.of(job.id());
+            if (told != null && job.active()) {
+                learnEnd(job, told);
+            }
+        }
+    }
+
+    /**
+     * Takes another controller's word for a cancellation, also of a job not yet known here. It moves no cursor: what
+     * was committed before it may still be unknown.
+     */
+    void learn(Cancellation told) {
+        JobRecord known = jobs.get(told.job());
+        if (cancellations.add(told) && known != null && known.active()) {
+            learnEnd(known, told);
         }
     }
 
+    private void learnEnd(JobRecord active, Cancellation told) {
+        learn(new JobRecord(active.id(), active.submission(), Phase.CANCELLED, told.revision(), told.askedAt()));
+    }
+
+    /** Whether a job is known to be cancelled, even if its record is not known yet. */
+    boolean cancelled(String id) {
+        return cancellations.of(id) != null;
+    }
+
+    /** Stops what a worker still has of cancelled jobs. */
+    List<Command> stopsFor(Report report) {
+        return report.tasks().stream().filter(t -> t.state() != TaskState.EXITED && cancelled(t.task().job()))
+                .<Command>map(t -> new Stop(t.task(), t.attempt(), 0)).toList();
+    }
+
+    /** What this controller tells of itself when it asks another one, which handed out the bookmark. */
+    News known(long bookmark) {
+        return new News(cursor, bookmark, false, List.of());
+    }
+
+    /** What another controller lacks, going by its question. */
+    News lackedBy(News known) {
+        return cancellations.lackedBy(known, loaded);
+    }
+
+    /** All that was committed before this moment is known here. */
+    double currentAt() {
+        return currentAt;
+    }
+
     /** Calls back with true once every change made before this call is in the copy; false if that cannot be had. */
     void barrier(Consumer<Boolean> done) {
         if (!loaded) {
@@ -101,8 +162,10 @@
         reading = true;
         List<Consumer<Boolean>> served = waiting;
         waiting = new ArrayList<>();
+        double asked = loop.now();
         store.changes(JobRecord.PREFIX, cursor, 0, result -> {
             if (result.changes() != null) {
+                currentAt = Math.max(currentAt, asked);
                 applyAll(result.changes().changes(), result.changes().revision());
             }
             served.forEach(w -> w.accept(result.changes() != null));
--- a/src/main/java/org/springmill/control/coordination/Leader.java
+++ b/src/main/java/org/springmill/control/coordination/Leader.java
@@ -183,13 +183,17 @@
     private Job endedJob(String id) {
         JobRecord record = directory.get(id);
         Job job = new Job(record.submission(), record.version());
+        job.end(record.phase(), record.version(), endedSince(record));
+        ledger.add(job);
+        return job;
+    }
+
+    /** Since when a job is to be counted as ended, by this clock; its end may have become known here only later. */
+    private double endedSince(JobRecord record) {
         // A machine that can be reached answers within a report or so. Others are left alone for as long as the time
         // allows: counting from the takeover, each new leader gave up a cut zone's machines with all that ran on them.
         double ago = loop.timeOfDay() - record.endedAt() + 2 * settings.skewS();
-        job.end(record.phase(), record.version(),
-                loop.now() - Math.max(0, Math.min(ago, timing.cancelDeleteS() - timing.reportS())));
-        ledger.add(job);
-        return job;
+        return loop.now() - Math.max(0, Math.min(ago, timing.cancelDeleteS() - timing.reportS()));
     }
 
     private void tick() {
@@ -205,7 +209,12 @@
         tickedAt = now;
         loop.after(timing.reportS() / 8, this::tick);
         leadership.state();
-        if (closed || !leadership.mayAnswer()) {
+        if (closed) {
+            return;
+        }
+        // Whoever holds the term, sure of it or not, may be the only one who knows where cancelled tasks are.
+        cancelOverdue();
+        if (!leadership.mayAnswer()) {
             return;
         }
         resignIfCutOff();
@@ -222,7 +231,6 @@
                 fleet.forget(machine);
             }
         }
-        cancelOverdue();
         if (leadership.mayPlace()) {
             rentals.tick();
             rounds.request();
@@ -282,7 +290,7 @@
             return;
         }
         if (!record.active() && job.active()) {
-            job.end(record.phase(), record.version(), loop.now());
+            job.end(record.phase(), record.version(), endedSince(record));
             for (Attempt attempt : job.attempts()) {
                 fleet.stop(attempt, 0);
                 orders.poke(attempt.machine());
@@ -364,7 +372,7 @@
         }
         machine.tookReport(report);
         machine.answered(loop.now());
-        List<Command> commands = List.of();
+        List<Command> commands = rebuilt ? List.of() : directory.stopsFor(report);
         if (rebuilt && machine.ordersFailing() && !machine.ordersInFlight && report.session() == machine.session()) {
             commands = orders.due(machine);
         }
--- a/src/main/java/org/springmill/control/coordination/Peers.java
+++ b/src/main/java/org/springmill/control/coordination/Peers.java
@@ -1,6 +1,7 @@
 package org.springmill.control.coordination;
 
 import java.util.HashMap;
+import java.util.List;
 import java.util.Map;
 import java.util.function.Consumer;
 import java.util.function.Supplier;
@@ -8,6 +9,9 @@
 import org.slf4j.LoggerFactory;
 import org.springmill.protocol.BadMessageException;
 import org.springmill.protocol.PeerMessages;
+import org.springmill.protocol.PeerMessages.Cancellation;
+import org.springmill.protocol.PeerMessages.Cancelled;
+import org.springmill.protocol.PeerMessages.News;
 import org.springmill.protocol.PeerMessages.PeerRecord;
 import org.springmill.protocol.PeerMessages.Progress;
 import org.springmill.protocol.PeerMessages.Status;
@@ -24,6 +28,11 @@
     private final Settings settings;
     private final Timing timing;
     private final Supplier<Status> self;
+    private final JobDirectory directory;
+    /** How far each of the others has told its cancellations; only it can read its own bookmarks. */
+    private final Map<String, Long> bookmarks = new HashMap<>();
+    /** Up to when each of the others has told all that it confirmed. */
+    private final Map<String, Double> toldUntil = new HashMap<>();
     private final Map<String, Word> words = new HashMap<>();
     private final Map<Long, Double> asked = new HashMap<>();
     private Consumer<Progress> onProgress = p -> { };
@@ -40,7 +49,8 @@
     }
 
     /** @param self gives what this controller says of itself; its numbers are filled in here */
-    Peers(PeerLink link, Loop loop, Settings settings, Timing timing, Supplier<Status> self) {
+    Peers(PeerLink link, Loop loop, Settings settings, Timing timing, JobDirectory directory, Supplier<Status> self) {
+        this.directory = directory;
         this.link = link;
         this.loop = loop;
         this.settings = settings;
@@ -64,7 +74,7 @@
         asked.values().removeIf(at -> at < loop.now() - timing.confirmS());
         Status status = self.get();
         for (String node : settings.peers().keySet()) {
-            send(node, numbered(status, question, 0));
+            send(node, numbered(status, question, 0, directory.known(bookmarks.getOrDefault(node, 0L))));
         }
         loop.after(timing.pingS(), this::ask);
     }
@@ -73,6 +83,11 @@
         onProgress = taker;
     }
 
+    /** Tells of a cancellation committed here, before its user is told: a leader may be unable to read of it. */
+    void tell(Cancellation cancellation) {
+        settings.peers().keySet().forEach(node -> send(node, new Cancelled(settings.node(), List.of(cancellation))));
+    }
+
     void broadcast(Progress progress) {
         settings.peers().keySet().forEach(node -> send(node, progress));
     }
@@ -94,14 +109,21 @@
                 if (status.leading()) {
                     lastLeaderHeard = loop.now();
                 }
+                status.news().cancellations().forEach(directory::learn);
                 if (status.echo() == 0) {
                     answer(status);
                 } else {
+                    bookmarks.put(status.from(), status.news().bookmark());
                     Double at = asked.get(status.echo());
                     if (at != null) {
                         words.put(status.from(), new Word(at, loop.now(), status));
+                        if (status.news().complete()) {
+                            toldUntil.merge(status.from(), at, Math::max);
+                        }
                     }
                 }
+            } else if (message instanceof Cancelled cancelled && settings.peers().containsKey(cancelled.from())) {
+                cancelled.cancellations().forEach(directory::learn);
             } else if (message instanceof Progress progress) {
                 onProgress.accept(progress);
             }
@@ -133,15 +155,15 @@
         if (!status.stateReachable() && (leaderSilent() || status.leading())) {
             lastWitness = loop.now();
         }
-        send(to.from(), numbered(status, 0, to.question()));
+        send(to.from(), numbered(status, 0, to.question(), directory.lackedBy(to.news())));
     }
 
     /** What is said never falls behind what was heard: an answer that names a term is a promise to know it from then on. */
-    private Status numbered(Status status, long number, long echo) {
+    private Status numbered(Status status, long number, long echo, News news) {
         return new Status(settings.node(), number, echo, status.stateReachable(), status.leading(), status.informed(),
                 status.workers(), leaderSilent(),
                 (int) Math.min(Integer.MAX_VALUE, (loop.now() - Math.max(lastWitness, helpsUntil)) * 1000),
-                Math.max(highestTerm, status.term()));
+                Math.max(highestTerm, status.term()), news);
     }
 
     private boolean recent(Word word) {
@@ -175,6 +197,12 @@
         return loop.now() - lastLeaderHeard > timing.unheardS();
     }
 
+    /** Whatever the other controllers confirmed to their users before this moment, they have told here. */
+    double toldUntil() {
+        return settings.peers().keySet().stream()
+                .mapToDouble(node -> toldUntil.getOrDefault(node, Double.NEGATIVE_INFINITY)).min().orElse(loop.now());
+    }
+
     /** When any other controller was last heard of. */
     double lastHeard() {
         return lastHeard;
--- a/src/main/java/org/springmill/control/coordination/StandIn.java
+++ b/src/main/java/org/springmill/control/coordination/StandIn.java
@@ -1,7 +1,9 @@
 package org.springmill.control.coordination;
 
 import java.util.HashMap;
+import java.util.HashSet;
 import java.util.Map;
+import java.util.Set;
 import org.springmill.control.storage.StateStore;
 import org.springmill.protocol.WorkerMessages.Report;
 import org.springmill.transport.Loop;
@@ -17,12 +19,17 @@
     private final Leadership leadership;
     private final Loop loop;
     private final Timing timing;
+    private final Horizon horizon;
     /** Tokens with which workers first came here in the present spell of loneliness. */
     private final Map<String, Long> firstTokens = new HashMap<>();
     /** When this controller last heard of anyone before that spell. */
     private double aloneSince = Double.NEGATIVE_INFINITY;
+    /** Zones whose workers came here in that spell. */
+    private final Set<String> zones = new HashSet<>();
+    private double reachedAt = Double.NEGATIVE_INFINITY;
 
-    StandIn(StateStore store, Peers peers, Leadership leadership, Loop loop, Timing timing) {
+    StandIn(StateStore store, Peers peers, Leadership leadership, Horizon horizon, Loop loop, Timing timing) {
+        this.horizon = horizon;
         this.store = store;
         this.peers = peers;
         this.leadership = leadership;
@@ -32,8 +39,10 @@
 
     /** @param holdsTerm whether this controller was elected and has not yet learned of a later term */
     boolean keeps(Report report, boolean holdsTerm) {
+        boolean alone = !store.reachable() && alone();
         boolean keeps = leadership.vacant() || !holdsTerm && peers.helps()
-                || !store.reachable() && (!holdsTerm && onTheWordOfOthers() || alone() && unclaimed(report));
+                || !store.reachable() && !holdsTerm && onTheWordOfOthers() || alone && unclaimed(report);
+        keeps &= horizon.covers() || alone && zoneIsCutOff(report);
         if (keeps) {
             peers.stoodIn();
         }
@@ -55,10 +64,27 @@
             // within a leader's reach: in a second cut of the zone all of them were sent away until their leases ended.
             aloneSince = since;
             firstTokens.clear();
+            zones.clear();
         }
         return loop.now() - since > timing.wordS();
     }
 
+    /** Users, or whoever looks after their connections, reached this controller. */
+    void reachedByUsers() {
+        reachedAt = loop.now();
+    }
+
+    /**
+     * Whether the zone around this controller is cut off rather than this controller alone: then a leader outside
+     * removes through the cloud what was cancelled there. One that users or the workers of several zones still reach is
+     * itself what is cut off, and one that the state service refuses may be in the middle of an outage; nobody is then
+     * sure to remove what it keeps.
+     */
+    private boolean zoneIsCutOff(Report report) {
+        zones.add(report.zone());
+        return zones.size() == 1 && reachedAt < aloneSince + timing.wordS() && !store.refuses();
+    }
+
     /** A worker whose token has risen is within some leader's reach and should report there. */
     private boolean unclaimed(Report report) {
         long first = firstTokens.computeIfAbsent(report.machine(), m -> report.token());
--- a/src/main/java/org/springmill/control/coordination/Timing.java
+++ b/src/main/java/org/springmill/control/coordination/Timing.java
@@ -16,10 +16,12 @@
  * @param quietS a worker not heard for this long gets no new work
  * @param silentS a worker not heard for this long, and not answering orders either, is as good as dead
  * @param cancelDeleteS a cancelled task not gone by then has its machine deleted
+ * @param unknowingS how long after the last moment up to which it knows every cancellation a controller may renew
+ *     leases: what is renewed then is over before anything cancelled since has to be gone
  */
 record Timing(double leaderTtlS, double renewS, double graceS, double confirmS, double pingS, double stateTimeoutS,
         double leaseS, double reportS, double claimWindowS, double probeS, double quietS, double silentS,
-        double orderTimeoutS, double cancelDeleteS) {
+        double orderTimeoutS, double cancelDeleteS, double unknowingS) {
 
     /** Drift of two clocks against each other, doubled, and timers that fire late. */
     private static final double DRIFT = 1.002;
@@ -28,9 +30,12 @@
         double lease = settings.workers().leaseS();
         double report = settings.workers().reportS();
         double ttl = lease / 5;
-        return new Timing(ttl, ttl / 4, ttl, ttl / 2, ttl / 8, ttl / 3, lease * DRIFT + report / 10, report, lease * 0.3,
-                report * 1.25 * 1.15, report * 1.25 * 1.6, report * 2.1, report * 0.6,
-                settings.workers().cancelS() * 0.55);
+        double cancel = settings.workers().cancelS();
+        double seenLease = lease * DRIFT + report / 10;
+        // Where cancellations have less time than leases only deletion keeps it; some leases have to be given all the same.
+        double unknowing = Math.max(lease / 2, cancel / DRIFT - seenLease - report / 2);
+        return new Timing(ttl, ttl / 4, ttl, ttl / 2, ttl / 8, ttl / 3, seenLease, report, lease * 0.3,
+                report * 1.25 * 1.15, report * 1.25 * 1.6, report * 2.1, report * 0.6, cancel * 0.55, unknowing);
     }
 
     /** Silence between controllers longer than anyone acts on a word: whoever was just answered does not stand in. */
--- a/src/main/java/org/springmill/control/coordination/UserApi.java
+++ b/src/main/java/org/springmill/control/coordination/UserApi.java
@@ -2,6 +2,7 @@
 
 import com.fasterxml.jackson.databind.JsonNode;
 import java.util.List;
+import java.util.function.Consumer;
 import java.util.function.Function;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
@@ -9,6 +10,7 @@
 import org.springmill.control.storage.StateStore;
 import org.springmill.protocol.BadMessageException;
 import org.springmill.protocol.Json;
+import org.springmill.protocol.PeerMessages.Cancellation;
 import org.springmill.protocol.PeerMessages.JobProgress;
 import org.springmill.protocol.StateMessages.Condition;
 import org.springmill.protocol.StateMessages.Write;
@@ -31,12 +33,15 @@
     private final Loop loop;
     private final Timing timing;
     private final Function<String, JobProgress> progress;
+    private final Consumer<Cancellation> announce;
     private final Metrics metrics;
     private final int maxPending;
     private int pending;
 
+    /** @param announce told of each cancellation committed here, before its user is */
     UserApi(JobDirectory directory, StateStore store, Catalog catalog, Loop loop, Timing timing,
-            Function<String, JobProgress> progress, Metrics metrics, int maxPending) {
+            Function<String, JobProgress> progress, Consumer<Cancellation> announce, Metrics metrics, int maxPending) {
+        this.announce = announce;
         this.directory = directory;
         this.store = store;
         this.catalog = catalog;
@@ -149,7 +154,7 @@
     }
 
     /** Passes a job as it stands after the question came in, or null if that cannot be known now. */
-    private void current(String id, java.util.function.Consumer<JobRecord> done) {
+    private void current(String id, Consumer<JobRecord> done) {
         JobRecord known = directory.get(id);
         if (known != null && known.phase().terminal()) {
             done.accept(known);
@@ -239,6 +244,7 @@
                         directory.learn(new JobRecord(job.id(), job.submission(), Phase.CANCELLED, result.revision(),
                                 endedAt));
                         LOG.debug("{} cancelled", job.id());
+                        announce.accept(new Cancellation(job.id(), result.revision(), endedAt));
                         call.reply(200, UserMessages.phase(job.id(), Phase.CANCELLED), 0);
                     } else if (loop.now() + timing.stateTimeoutS() > until
                             || result.outcome() == StateStore.Outcome.NOT_NOW && !store.reachable()) {
--- a/src/main/java/org/springmill/control/storage/StateStore.java
+++ b/src/main/java/org/springmill/control/storage/StateStore.java
@@ -43,6 +43,7 @@
     private final ArrayDeque<Waiting> queue = new ArrayDeque<>();
     private boolean pumping;
     private boolean reachable;
+    private boolean refuses;
     private double lastServed = Double.NEGATIVE_INFINITY;
     private DoubleConsumer onCommit = since -> { };
 
@@ -92,6 +93,11 @@
         return reachable;
     }
 
+    /** Whether its last answer was that it serves nothing: it, or the way to it, was there to say so. */
+    public boolean refuses() {
+        return refuses;
+    }
+
     public double lastServed() {
         return lastServed;
     }
@@ -239,9 +245,11 @@
         http.send(request, reply -> {
             if (reply.answered() && reply.status() != 503) {
                 reachable = true;
+                refuses = false;
                 lastServed = loop.now();
             } else {
                 reachable = false;
+                refuses |= reply.answered();
             }
             done.accept(reply);
         });
--- a/src/main/java/org/springmill/protocol/PeerMessages.java
+++ b/src/main/java/org/springmill/protocol/PeerMessages.java
@@ -35,12 +35,35 @@
      * @param witnessAgoMs how long ago it last bore witness of an outage, or answered a worker although it does not
      *     lead; negative while it may go on answering them for so long
      * @param term the highest leadership term it knows of
+     * @param news what it knows of cancelled jobs; {@link News#NONE} from a version that does not tell
      */
     public record Status(String from, long question, long echo, boolean stateReachable, boolean leading,
-            boolean informed, int workers, boolean leaderSilent, int witnessAgoMs, long term)
+            boolean informed, int workers, boolean leaderSilent, int witnessAgoMs, long term, News news)
             implements PeerRecord {
     }
 
+    /** A committed cancellation. It is final, so anyone's word of it may be acted on. */
+    public record Cancellation(String job, long revision, double askedAt) {
+    }
+
+    /**
+     * Anti-entropy of cancellations. A question says what the asker knows, an answer carries what it lacks.
+     *
+     * @param revision in a question: the asker has read all job records up to it
+     * @param bookmark how far the asker has been told; handed out by whoever answers, which alone can read it
+     * @param complete in an answer: nothing remains to be told, and the sender has forgotten nothing, having read the
+     *     job records since it was started
+     */
+    public record News(long revision, long bookmark, boolean complete, List<Cancellation> cancellations) {
+        /** So many cancellations go into one record. */
+        public static final int MOST = 100;
+        public static final News NONE = new News(0, 0, false, List.of());
+    }
+
+    /** Cancellations that the sender has just committed, told before its user is. */
+    public record Cancelled(String from, List<Cancellation> cancellations) implements PeerRecord {
+    }
+
     /** How far one job is, for display. */
     public record JobProgress(String job, int done, int running) {
     }
@@ -67,6 +90,15 @@
                 out.writeBoolean(s.leaderSilent);
                 out.writeInt(s.witnessAgoMs);
                 out.writeLong(s.term);
+                // Fields of later versions come after these: earlier ones leave unread what they do not know.
+                out.writeLong(s.news.revision);
+                out.writeLong(s.news.bookmark);
+                out.writeBoolean(s.news.complete);
+                write(out, s.news.cancellations);
+            } else if (message instanceof Cancelled c) {
+                out.writeByte(3);
+                out.writeUTF(c.from);
+                write(out, c.cancellations);
             } else if (message instanceof Progress p) {
                 out.writeByte(2);
                 out.writeUTF(p.from);
@@ -94,7 +126,12 @@
             int kind = in.readUnsignedByte();
             if (kind == 1) {
                 return new Status(in.readUTF(), in.readLong(), in.readLong(), in.readBoolean(), in.readBoolean(),
-                        in.readBoolean(), in.readInt(), in.readBoolean(), in.readInt(), in.readLong());
+                        in.readBoolean(), in.readInt(), in.readBoolean(), in.readInt(), in.readLong(),
+                        in.available() == 0 ? News.NONE
+                                : new News(in.readLong(), in.readLong(), in.readBoolean(), readCancellations(in)));
+            }
+            if (kind == 3) {
+                return new Cancelled(in.readUTF(), readCancellations(in));
             }
             if (kind != 2) {
                 throw new BadMessageException("peer record of kind " + kind);
@@ -114,4 +151,26 @@
             throw new BadMessageException("peer record cut short");
         }
     }
+
+    private static void write(DataOutputStream out, List<Cancellation> cancellations) throws IOException {
+        int count = Math.min(News.MOST, cancellations.size());
+        out.writeShort(count);
+        for (Cancellation cancellation : cancellations.subList(0, count)) {
+            out.writeUTF(cancellation.job);
+            out.writeLong(cancellation.revision);
+            out.writeDouble(cancellation.askedAt);
+        }
+    }
+
+    private static List<Cancellation> readCancellations(DataInputStream in) throws IOException, BadMessageException {
+        int count = in.readUnsignedShort();
+        if (count > News.MOST) {
+            throw new BadMessageException("peer record of " + count + " cancellations");
+        }
+        List<Cancellation> cancellations = new ArrayList<>(count);
+        for (int i = 0; i < count; i++) {
+            cancellations.add(new Cancellation(in.readUTF(), in.readLong(), in.readDouble()));
+        }
+        return cancellations;
+    }
 }
