Tests: all rules are watched in the virtual world; stand-ins know the newer troubles

New troubles: one node refused by the state service alone, transactions carried out late, copies of reports, deaf and mute machines, a controller with only its workers and users, messages held up. A hung machine executes nothing until it wakes.

--- a/src/test/java/org/springmill/control/coordination/FailureTest.java
+++ b/src/test/java/org/springmill/control/coordination/FailureTest.java
@@ -38,6 +38,7 @@
     @AfterEach
     void noRuleIsBroken() {
         assertEquals(List.of(), world.broken());
+        assertEquals(List.of(), world.startsAfterCancel());
     }
 
     private static boolean starts(Request request) {
--- a/src/test/java/org/springmill/sim/SimCloud.java
+++ b/src/test/java/org/springmill/sim/SimCloud.java
@@ -15,6 +15,13 @@
     private static final ObjectMapper JSON = new ObjectMapper();
     static final double BOOT_S = 20;
 
+    /** A machine type as the cloud offers it. */
+    record Type(String name, double cpus, double gpus, double memoryGb, double price) {
+    }
+
+    static final Map<String, Type> TYPES = Map.of("small", new Type("small", 4, 0, 16, 0.2),
+            "large", new Type("large", 32, 8, 256, 10));
+
     private final World world;
     private final Map<String, SimWorker> machines = new LinkedHashMap<>();
     private final Map<String, ArrayNode> rentals = new HashMap<>();
@@ -46,8 +53,8 @@
         ObjectNode out = JSON.createObjectNode();
         if (request.path().equals("/machine_types")) {
             ArrayNode frames = out.putArray("frames");
-            type(frames, "small", 4, 0, 16, 0.2);
-            type(frames, "large", 32, 8, 256, 10);
+            type(frames, TYPES.get("small"));
+            type(frames, TYPES.get("large"));
             return SimState.reply(200, out);
         }
         JsonNode body = request.body().length == 0 ? null : SimState.parse(request.body());
@@ -88,9 +95,9 @@
         return SimState.reply(200, out);
     }
 
-    private static void type(ArrayNode into, String name, double cpus, double gpus, double memory, double price) {
-        into.addObject().put("sku", name).put("vcpus", cpus).put("cards", gpus).put("memGb", memory)
-                .put("localGb", 100.0).put("pullGbPerS", 1.0).put("price", price).put("marketPrice", price / 3)
-                .put("bootS", BOOT_S).putArray("yards").add("a").add("b");
+    private static void type(ArrayNode into, Type type) {
+        into.addObject().put("sku", type.name()).put("vcpus", type.cpus()).put("cards", type.gpus())
+                .put("memGb", type.memoryGb()).put("localGb", 100.0).put("pullGbPerS", 1.0).put("price", type.price())
+                .put("marketPrice", type.price() / 3).put("bootS", BOOT_S).putArray("yards").add("a").add("b");
     }
 }
--- a/src/test/java/org/springmill/sim/SimNetwork.java
+++ b/src/test/java/org/springmill/sim/SimNetwork.java
@@ -1,7 +1,10 @@
 package org.springmill.sim;
 
 import java.util.ArrayList;
+import java.util.HashSet;
 import java.util.List;
+import java.util.Set;
+import java.util.SplittableRandom;
 import java.util.function.Consumer;
 import org.springmill.transport.HttpClient.Reply;
 import org.springmill.transport.HttpClient.Request;
@@ -29,32 +32,106 @@
     }
 
     private final World world;
-    private final List<Request> held = new ArrayList<>();
+    private final List<Held> held = new ArrayList<>();
+    private final Set<String> deaf = new HashSet<>();
+    private final Set<String> mute = new HashSet<>();
+    private final Set<String> stateless = new HashSet<>();
     private Judge judge = (from, request) -> Fate.DELIVER;
+    private Delays delays = (from, request) -> 0;
+    private Delays answerDelays = (from, request) -> 0;
+    private SplittableRandom random;
+    private double lateReports;
+
+    private record Held(String from, Request request) {
+    }
+
+    /** How much longer a message is on its way, in seconds. */
+    public interface Delays {
+        double delayS(String from, Request request);
+    }
 
     SimNetwork(World world) {
         this.world = world;
     }
 
+    void random(SplittableRandom source) {
+        random = source;
+    }
+
     public void judge(Judge by) {
         judge = by;
     }
 
-    public List<Request> held() {
-        return held;
+    /** Holds up requests, to be carried out even if their sender has long given up. */
+    public void delayRequests(Delays by) {
+        delays = by;
+    }
+
+    /** Holds up answers; the sender may have given up by then. */
+    public void delayAnswers(Delays by) {
+        answerDelays = by;
+    }
+
+    /** The reports of a machine arrive; answers and direct commands to it are lost. */
+    public void deafen(SimWorker machine) {
+        deaf.add(machine.name());
+        deaf.add(machine.address());
+    }
+
+    /** A machine reaches no controller, while direct commands reach it. */
+    public void mute(SimWorker machine) {
+        mute.add(machine.name());
+    }
+
+    public void heal(SimWorker machine) {
+        mute.remove(machine.name());
+        deaf.remove(machine.name());
+        deaf.remove(machine.address());
+    }
+
+    /** Nothing gets through between a controller and the state service. */
+    public void cutFromState(String node) {
+        stateless.add(node);
+    }
+
+    /** Of that share of the reports a copy arrives again, from 2 s to three leases later. */
+    public void lateReports(double share) {
+        lateReports = share;
+    }
+
+    void calm() {
+        judge = (from, request) -> Fate.DELIVER;
+        delays = (from, request) -> 0;
+        answerDelays = (from, request) -> 0;
+        lateReports = 0;
+        deaf.clear();
+        mute.clear();
+        stateless.clear();
     }
 
     /** Delivers everything that was held, to nobody's answer. */
     public void releaseHeld() {
-        for (Request request : List.copyOf(held)) {
-            world.route(request, reply -> { });
+        for (Held message : List.copyOf(held)) {
+            world.route(message.from(), message.request(), reply -> { });
         }
         held.clear();
     }
 
     /** Delivers a copy of a request once more. */
     public void repeat(Request request) {
-        world.route(request, reply -> { });
+        world.route("", request, reply -> { });
+    }
+
+    private Fate fate(String from, Request request) {
+        boolean report = request.path().equals("/v1/report");
+        if (report && mute.contains(from)) {
+            return Fate.REFUSE;
+        }
+        if (deaf.contains(request.address()) || stateless.contains(from) && request.address().equals("state:1")) {
+            return Fate.DROP;
+        }
+        Fate fate = judge.judge(from, request);
+        return fate == Fate.DELIVER && deaf.contains(from) ? Fate.LOSE_ANSWER : fate;
     }
 
     void send(String from, Request request, Consumer<Reply> done) {
@@ -65,18 +142,23 @@
                 done.accept(reply);
             }
         };
-        Fate fate = judge.judge(from, request);
+        Fate fate = fate(from, request);
         if (fate == Fate.REFUSE) {
             world.clock().after(DELAY_S, () -> once.accept(Reply.NOT_SENT));
             return;
         }
         world.clock().after(request.timeoutS(), () -> once.accept(Reply.LOST));
+        if (request.path().equals("/v1/report") && lateReports > 0 && random.nextDouble() < lateReports) {
+            world.clock().after(2 + random.nextDouble() * (3 * World.LEASE_S - 2),
+                    () -> world.route(from, request, reply -> { }));
+        }
+        double delayS = DELAY_S + delays.delayS(from, request);
         switch (fate) {
             case DROP -> { }
-            case HOLD -> held.add(request);
-            case LOSE_ANSWER -> world.clock().after(DELAY_S, () -> world.route(request, reply -> { }));
-            default -> world.clock().after(DELAY_S, () -> world.route(request,
-                    reply -> world.clock().after(DELAY_S, () -> once.accept(reply))));
+            case HOLD -> held.add(new Held(from, request));
+            case LOSE_ANSWER -> world.clock().after(delayS, () -> world.route(from, request, reply -> { }));
+            default -> world.clock().after(delayS, () -> world.route(from, request, reply ->
+                    world.clock().after(DELAY_S + answerDelays.delayS(from, request), () -> once.accept(reply))));
         }
     }
 }
--- a/src/test/java/org/springmill/sim/SimState.java
+++ b/src/test/java/org/springmill/sim/SimState.java
@@ -6,8 +6,11 @@
 import com.fasterxml.jackson.databind.node.ObjectNode;
 import java.util.ArrayList;
 import java.util.HashMap;
+import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
+import java.util.Set;
+import java.util.SplittableRandom;
 import java.util.TreeMap;
 import java.util.function.Consumer;
 import org.springmill.transport.HttpClient.Reply;
@@ -23,7 +26,21 @@
     private record Change(long revision, String key, JsonNode value) {
     }
 
-    private record Watch(String prefix, long from, Consumer<Reply> done, boolean[] over) {
+    /** An open watch of a node; overdue once its time ran out while the node was not served. */
+    private static final class Watch {
+        private final String node;
+        private final String prefix;
+        private final long from;
+        private final Consumer<Reply> done;
+        private boolean overdue;
+        private boolean over;
+
+        Watch(String node, String prefix, long from, Consumer<Reply> done) {
+            this.node = node;
+            this.prefix = prefix;
+            this.from = from;
+            this.done = done;
+        }
     }
 
     private final VirtualClock clock;
@@ -36,6 +53,9 @@
     private final List<Watch> watches = new ArrayList<>();
     private long revision;
     private long nextLease = 1;
+    private final Set<String> refused = new HashSet<>();
+    private SplittableRandom random;
+    private double lateShare;
     private boolean down;
 
     SimState(VirtualClock clock, int valueBytes, int writesPerCommit) {
@@ -51,6 +71,44 @@
             ttls.forEach((lease, ttl) -> leases.replace(lease, clock.now() + ttl));
         }
         down = nowDown;
+        serveOverdue();
+    }
+
+    void random(SplittableRandom source) {
+        random = source;
+    }
+
+    /** Answers one node 503 while the others are served; its leases run out, and its open watches wait. */
+    public void refuse(int node, boolean now) {
+        if (now) {
+            refused.add("n-" + node);
+        } else {
+            refused.remove("n-" + node);
+            serveOverdue();
+        }
+    }
+
+    /** That share of the transactions gets no answer and is carried out 2 to 12 s later, after newer ones. */
+    public void lateWrites(double share) {
+        lateShare = share;
+    }
+
+    void calm() {
+        refused.clear();
+        lateShare = 0;
+        setDown(false);
+    }
+
+    private boolean serves(String node) {
+        return !down && !refused.contains(node);
+    }
+
+    private void serveOverdue() {
+        for (Watch watch : List.copyOf(watches)) {
+            if (serve(watch, watch.overdue)) {
+                watches.remove(watch);
+            }
+        }
     }
 
     public JsonNode value(String key) {
@@ -64,18 +122,31 @@
         return keys.keySet().stream().filter(k -> k.startsWith(prefix)).toList();
     }
 
-    void handle(Request request, Consumer<Reply> done) {
+    void handle(String from, Request request, Consumer<Reply> done) {
         expire();
         String path = request.path();
-        if (down) {
+        if (!serves(from)) {
             done.accept(reply(503, JSON.createObjectNode()));
         } else if (path.startsWith("/changes")) {
-            changes(query(path), done);
+            changes(from, query(path), done);
+        } else if (path.equals("/commit") && lateShare > 0 && random.nextDouble() < lateShare) {
+            late(request, 2 + random.nextDouble() * 10);
         } else {
             done.accept(answer(request, path));
         }
     }
 
+    private void late(Request request, double inS) {
+        clock.after(inS, () -> {
+            expire();
+            if (down) {
+                late(request, 1);
+            } else {
+                commit(parse(request.body()));
+            }
+        });
+    }
+
     private Reply answer(Request request, String path) {
         ObjectNode out = JSON.createObjectNode();
         if (path.equals("/commit")) {
@@ -216,26 +287,27 @@
         clock.after(0.05, this::tick);
     }
 
-    private void changes(Map<String, String> query, Consumer<Reply> done) {
-        Watch watch = new Watch(query.get("under"), Long.parseLong(query.get("from")), done, new boolean[1]);
+    private void changes(String node, Map<String, String> query, Consumer<Reply> done) {
+        Watch watch = new Watch(node, query.get("under"), Long.parseLong(query.get("from")), done);
         double wait = Long.parseLong(query.getOrDefault("waitMs", "0")) / 1000.0;
         if (!serve(watch, wait == 0)) {
             watches.add(watch);
             clock.after(wait, () -> {
-                if (!down) {
-                    serve(watch, true);
+                watch.overdue = true;
+                if (serve(watch, true)) {
+                    watches.remove(watch);
                 }
             });
         }
     }
 
     private boolean serve(Watch watch, boolean even) {
-        if (watch.over()[0]) {
-            return true;
+        if (watch.over || !serves(watch.node)) {
+            return watch.over;
         }
         ArrayNode news = JSON.createArrayNode();
         for (Change change : changes) {
-            if (change.revision() > watch.from() && change.key().startsWith(watch.prefix())) {
+            if (change.revision() > watch.from && change.key().startsWith(watch.prefix)) {
                 ObjectNode item = news.addObject().put("stamp", change.revision());
                 if (change.value() == null) {
                     item.put("delete", change.key());
@@ -247,10 +319,10 @@
         if (news.isEmpty() && !even) {
             return false;
         }
-        watch.over()[0] = true;
+        watch.over = true;
         ObjectNode out = JSON.createObjectNode().put("ledgerRev", revision);
         out.set("news", news);
-        watch.done().accept(reply(200, out));
+        watch.done.accept(reply(200, out));
         return true;
     }
 
--- a/src/test/java/org/springmill/sim/SimWorker.java
+++ b/src/test/java/org/springmill/sim/SimWorker.java
@@ -18,17 +18,23 @@
     static final class Task {
         final String id;
         final long attempt;
+        final double commandedAt;
         String phase = "pulling";
         String cause;
 
-        Task(String id, long attempt) {
+        Task(String id, long attempt, double commandedAt) {
             this.id = id;
             this.attempt = attempt;
+            this.commandedAt = commandedAt;
         }
 
         boolean onMachine() {
             return phase.equals("running") || phase.equals("saving");
         }
+
+        boolean over() {
+            return phase.equals("ended");
+        }
     }
 
     private final World world;
@@ -100,6 +106,16 @@
         return !expired() && tasks.values().stream().anyMatch(t -> t.id.equals(task) && t.onMachine());
     }
 
+    /** Whether a task is here, be it still fetching. */
+    boolean holds(String task) {
+        return !expired() && tasks.values().stream().anyMatch(t -> t.id.equals(task) && !t.over());
+    }
+
+    /** Whether nothing is wrong with it. */
+    boolean sound() {
+        return reachable() && !failing && noticeS == null && !expired();
+    }
+
     public void notice(double seconds) {
         noticeS = seconds;
         report();
@@ -221,7 +237,7 @@
             switch (order.path("verb").asText()) {
                 case "start" -> {
                     if (task == null) {
-                        start(key, new Task(id, attempt));
+                        start(key, new Task(id, attempt, world.clock().now()));
                     }
                 }
                 case "halt" -> {
@@ -245,22 +261,34 @@
             end(task, "busy");
             return;
         }
-        world.clock().after(World.FETCH_S, () -> {
-            if (tasks.get(key) != task || !task.phase.equals("pulling") || gone) {
+        whenAwake(World.FETCH_S, () -> {
+            if (tasks.get(key) != task || !task.phase.equals("pulling")) {
                 return;
             }
             task.phase = "running";
-            world.started(this, task.id);
+            world.started(this, task);
             report();
             double runS = failing ? 0.1 : world.runTime(task.id);
             if (runS < Double.POSITIVE_INFINITY) {
-                world.clock().after(runS, () -> finish(key, task));
+                whenAwake(runS, () -> finish(key, task));
+            }
+        });
+    }
+
+    /** A machine that hangs does nothing, and goes on when it wakes; past its lease it finds nothing to go on with. */
+    private void whenAwake(double seconds, Runnable then) {
+        world.clock().after(seconds, () -> {
+            checkLease();
+            if (hung) {
+                whenAwake(World.REPORT_S / 20, then);
+            } else if (!gone) {
+                then.run();
             }
         });
     }
 
     private void finish(String key, Task task) {
-        if (tasks.get(key) == task && task.phase.equals("running") && !gone) {
+        if (tasks.get(key) == task && task.phase.equals("running")) {
             end(task, failing ? "error" : "done");
             if (!failing) {
                 world.done(task.id);
--- a/src/test/java/org/springmill/sim/World.java
+++ b/src/test/java/org/springmill/sim/World.java
@@ -3,7 +3,6 @@
 import com.fasterxml.jackson.databind.JsonNode;
 import com.fasterxml.jackson.databind.ObjectMapper;
 import com.fasterxml.jackson.databind.node.ObjectNode;
-import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.HashSet;
 import java.util.List;
@@ -28,6 +27,7 @@
     static final double LEASE_S = 14;
     static final double CANCEL_S = 44;
     static final double FETCH_S = 1;
+    private static final double POLL_S = 5;
     private static final ObjectMapper JSON = new ObjectMapper();
 
     private final VirtualClock clock = new VirtualClock();
@@ -35,13 +35,11 @@
     private final SimCloud cloud = new SimCloud(this);
     private final SimNetwork network = new SimNetwork(this);
     private final Node[] nodes = new Node[NODES];
-    private final Map<String, JsonNode> jobs = new HashMap<>();
+    private final Rules rules = new Rules(clock, cloud, settings(0));
     private final Map<String, Double> runTimes = new HashMap<>();
-    private final Map<String, Double> cancelledAt = new HashMap<>();
     private final Map<String, Integer> starts = new HashMap<>();
-    private final Set<String> doneTasks = new HashSet<>();
     private final Set<String> cutPeers = new HashSet<>();
-    private final List<String> broken = new ArrayList<>();
+    private final SplittableRandom random;
     private int incarnations;
     private boolean filtered;
 
@@ -113,11 +111,19 @@
     }
 
     public World() {
+        this(1);
+    }
+
+    /** @param seed of what is left to chance */
+    public World(long seed) {
+        random = new SplittableRandom(seed);
+        network.random(random.split());
+        state.random(random.split());
         state.tick();
         for (int i = 0; i < NODES; i++) {
             nodes[i] = new Node(i);
         }
-        watchRules();
+        rules.watch();
     }
 
     static Settings settings(int index) {
@@ -154,6 +160,12 @@
         return "10.0.0." + node + ":8080";
     }
 
+    /** A controller loses the state service and the other controllers, not its workers or users. */
+    public void isolate(int node) {
+        cutPeers(node, true);
+        network.cutFromState("n-" + node);
+    }
+
     /** Adds machines that are up after a moment. */
     public World machines(String type, String zone, int count) {
         for (int i = 0; i < count; i++) {
@@ -198,9 +210,9 @@
         return record == null ? -1 : Integer.parseInt(record.path("node").asText().substring(2));
     }
 
-    void route(Request request, Consumer<Reply> done) {
+    void route(String from, Request request, Consumer<Reply> done) {
         if (request.address().equals("state:1")) {
-            state.handle(request, done);
+            state.handle(from, request, done);
         } else if (request.address().equals("cloud:1")) {
             done.accept(cloud.handle(request));
         } else if (request.address().startsWith("10.0.0.")) {
@@ -241,35 +253,53 @@
         }
     }
 
+    /** Asks a controller as a user would; the rules take note of the answer when the user gets it. */
+    public void user(int node, String method, String path, String body, double timeoutS, Consumer<Reply> done) {
+        Request request = new Request(apiOf(node), method, path, Rules.bytes(body), timeoutS);
+        double sentAt = clock.now();
+        rules.asks(request);
+        network.send("user", request, reply -> {
+            rules.told(request, sentAt, reply);
+            done.accept(reply);
+        });
+    }
+
     /** Asks a controller as a user would, and waits for the answer. */
     public Reply ask(int node, String method, String path, String body) {
-        Reply[] answer = {Reply.LOST};
-        network.send("user", new Request(apiOf(node), method, path, body.getBytes(java.nio.charset.StandardCharsets.UTF_8), 5),
-                reply -> answer[0] = reply);
-        for (int i = 0; i < 500 && answer[0] == Reply.LOST; i++) {
+        Reply[] answer = new Reply[1];
+        user(node, method, path, body, 5, reply -> answer[0] = reply);
+        for (int i = 0; i < 501 && answer[0] == null; i++) {
             clock.run(0.01);
         }
         return answer[0];
     }
 
+    /** Users ask about every unfinished job from now on, every five seconds and wherever the balancer sends them. */
+    public World polled() {
+        for (String id : rules.unfinished()) {
+            int node = random.nextInt(NODES);
+            clock.after(random.nextDouble() * POLL_S,
+                    () -> user(node, "GET", "/submissions/" + id, "", 2, reply -> { }));
+        }
+        clock.after(POLL_S, this::polled);
+        return this;
+    }
+
     public int submit(int node, ObjectNode job, double runS) {
-        jobs.put(job.path("nameId").asText(), job);
         runTimes.put(job.path("nameId").asText(), runS);
         return ask(node, "POST", "/submissions", job.toString()).status();
     }
 
     public String phase(int node, String id) {
-        Reply reply = ask(node, "GET", "/submissions/" + id, "");
-        return reply.ok() ? SimState.parse(reply.body()).path("phase").asText() : Integer.toString(reply.status());
+        return phaseOf(ask(node, "GET", "/submissions/" + id, ""));
     }
 
     public String withdraw(int node, String id) {
-        Reply reply = ask(node, "POST", "/submissions/" + id + "/withdraw", "");
-        String phase = reply.ok() ? SimState.parse(reply.body()).path("phase").asText() : Integer.toString(reply.status());
-        if (phase.equals("cancelled")) {
-            cancelledAt.putIfAbsent(id, clock.now());
-        }
-        return phase;
+        return phaseOf(ask(node, "POST", "/submissions/" + id + "/withdraw", ""));
+    }
+
+    private static String phaseOf(Reply reply) {
+        return reply.ok() ? SimState.parse(reply.body()).path("phase").asText() : Integer.toString(reply.status());
     }
 
     public static ObjectNode job(String id, String team, String shape, int tasks, double cpus, double gpus) {
@@ -284,51 +314,33 @@
         return runTimes.getOrDefault(job, Double.POSITIVE_INFINITY);
     }
 
-    /** Notes a start, and whether it breaks a rule. */
-    void started(SimWorker on, String task) {
-        starts.merge(task, 1, Integer::sum);
-        for (SimWorker other : cloud.machines().values()) {
-            if (other != on && other.runs(task)) {
-                broken.add("ran_twice " + task + " on " + other.name() + " and " + on.name());
-            }
-        }
-        JsonNode job = jobs.get(task.substring(0, task.indexOf('/')));
-        if (job.path("apart").asBoolean()) {
-            long here = cloud.machines().values().stream().filter(m -> m.zone().equals(on.zone()))
-                    .flatMap(m -> m.tasks().stream()).filter(t -> t.onMachine() && t.id.startsWith(job.path("nameId").asText() + "/"))
-                    .count();
-            if (here > (job.path("sacks").asInt() + 1) / 2) {
-                broken.add("wrong_place " + task);
-            }
-        }
+    void started(SimWorker on, SimWorker.Task task) {
+        starts.merge(task.id, 1, Integer::sum);
+        rules.started(on, task);
     }
 
     void done(String task) {
-        doneTasks.add(task);
-    }
-
-    private void watchRules() {
-        double gpus = 0;
-        for (SimWorker worker : cloud.machines().values()) {
-            for (SimWorker.Task task : worker.tasks()) {
-                String id = task.id.substring(0, task.id.indexOf('/'));
-                JsonNode job = jobs.get(id);
-                if (task.onMachine()) {
-                    gpus += job.path("crew").asText().equals("red") ? job.path("cards").asDouble() : 0;
-                    if (clock.now() > cancelledAt.getOrDefault(id, Double.POSITIVE_INFINITY) + CANCEL_S) {
-                        broken.add("ran_cancelled " + task.id);
-                    }
-                }
-            }
-        }
-        if (gpus > 16 + 1e-6) {
-            broken.add("quota red " + gpus);
-        }
-        clock.after(0.25, this::watchRules);
+        rules.done(task);
     }
 
+    /** All troubles are over: from now on work has to go on, and every question to be answered. */
+    public World calm() {
+        network.calm();
+        state.calm();
+        cutPeers.clear();
+        filtered = false;
+        rules.calm();
+        return this;
+    }
+
+    /** What has broken a rule so far. */
     public List<String> broken() {
-        return broken;
+        return rules.broken();
+    }
+
+    /** Tasks that a machine was told to start, and started, after their user was told that the job is cancelled. */
+    public List<String> startsAfterCancel() {
+        return rules.startsAfterCancel();
     }
 
     public int starts(String task) {
