--- a/src/main/java/org/springmill/control/coordination/Cancellations.java
+++ b/src/main/java/org/springmill/control/coordination/Cancellations.java
@@ -43,6 +43,10 @@
      * @param informed whether this process has read the job records, and so forgotten nothing
      */
     News lackedBy(News known, boolean informed) {
+        if (known.revision() < 0) {
+            // A controller of the version before this: it would be told everything again in every answer.
+            return News.NONE;
+        }
         boolean mine = (known.bookmark() & -(1L << INDEX_BITS)) == tag;
         int next = mine ? (int) Math.min(learned.size(), known.bookmark() & 0xffff_ffffL) : 0;
         List<Cancellation> lacked = new ArrayList<>();
--- a/src/main/java/org/springmill/protocol/PeerMessages.java
+++ b/src/main/java/org/springmill/protocol/PeerMessages.java
@@ -49,7 +49,7 @@
     /**
      * Anti-entropy of cancellations. A question says what the asker knows, an answer carries what it lacks.
      *
-     * @param revision in a question: the asker has read all job records up to it
+     * @param revision in a question: the asker has read all job records up to it; negative if it takes no news
      * @param bookmark how far the asker has been told; handed out by whoever answers, which alone can read it
      * @param complete in an answer: nothing remains to be told, and the sender has forgotten nothing, having read the
      *     job records since it was started
@@ -57,7 +57,7 @@
     public record News(long revision, long bookmark, boolean complete, List<Cancellation> cancellations) {
         /** So many cancellations go into one record. */
         public static final int MOST = 100;
-        public static final News NONE = new News(0, 0, false, List.of());
+        public static final News NONE = new News(-1, 0, false, List.of());
     }
 
     /** Cancellations that the sender has just committed, told before its user is. */
