--- a/src/main/java/org/springmill/control/coordination/Cancellations.java
+++ b/src/main/java/org/springmill/control/coordination/Cancellations.java
@@ -56,6 +56,6 @@
                 lacked.add(cancellation);
             }
         }
-        return new News(0, tag | next, informed && next == learned.size(), lacked);
+        return new News(0, tag | next, next == learned.size(), informed, lacked);
     }
 }
--- a/src/main/java/org/springmill/control/coordination/JobDirectory.java
+++ b/src/main/java/org/springmill/control/coordination/JobDirectory.java
@@ -133,7 +133,7 @@
 
     /** What this controller tells of itself when it asks another one, which handed out the bookmark. */
     News known(long bookmark) {
-        return new News(cursor, bookmark, false, List.of());
+        return new News(cursor, bookmark, false, loaded, List.of());
     }
 
     /** What another controller lacks, going by its question. */
--- a/src/main/java/org/springmill/control/coordination/Peers.java
+++ b/src/main/java/org/springmill/control/coordination/Peers.java
@@ -31,8 +31,7 @@
     private final JobDirectory directory;
     /** How far each of the others has told its cancellations; only it can read its own bookmarks. */
     private final Map<String, Long> bookmarks = new HashMap<>();
-    /** Up to when each of the others has told all that it confirmed. */
-    private final Map<String, Double> toldUntil = new HashMap<>();
+    private final Map<String, Told> told = new HashMap<>();
     private final Map<String, Word> words = new HashMap<>();
     private final Map<Long, Double> asked = new HashMap<>();
     private Consumer<Progress> onProgress = p -> { };
@@ -48,6 +47,10 @@
     private record Word(double askedAt, double receivedAt, Status status) {
     }
 
+    /** Up to when a peer has told all that it confirmed, and whether it could then have confirmed anything at all. */
+    private record Told(double until, boolean reachedState) {
+    }
+
     /** @param self gives what this controller says of itself; its numbers are filled in here */
     Peers(PeerLink link, Loop loop, Settings settings, Timing timing, JobDirectory directory, Supplier<Status> self) {
         this.directory = directory;
@@ -117,8 +120,8 @@
                     Double at = asked.get(status.echo());
                     if (at != null) {
                         words.put(status.from(), new Word(at, loop.now(), status));
-                        if (status.news().complete()) {
-                            toldUntil.merge(status.from(), at, Math::max);
+                        if (status.news().complete() && (status.news().informed() || wasRefused(status, at))) {
+                            told.put(status.from(), new Told(at, status.stateReachable()));
                         }
                     }
                 }
@@ -200,7 +203,19 @@
     /** Whatever the other controllers confirmed to their users before this moment, they have told here. */
     double toldUntil() {
         return settings.peers().keySet().stream()
-                .mapToDouble(node -> toldUntil.getOrDefault(node, Double.NEGATIVE_INFINITY)).min().orElse(loop.now());
+                .mapToDouble(node -> told.containsKey(node) ? told.get(node).until() : Double.NEGATIVE_INFINITY)
+                .min().orElse(loop.now());
+    }
+
+    /**
+     * Whether a peer that was started in an outage, and has read nothing since, can be taken to have confirmed nothing
+     * untold in its earlier life: it could not reach the state service when last heard then, nor can it now, and there
+     * was little time between. Otherwise a crash in a long outage would end the leases of the whole fleet.
+     */
+    private boolean wasRefused(Status status, double askedAt) {
+        Told before = told.get(status.from());
+        return before != null && !before.reachedState() && !status.stateReachable()
+                && askedAt - before.until() < timing.unknowingS() / 2;
     }
 
     /** When any other controller was last heard of. */
--- a/src/main/java/org/springmill/protocol/PeerMessages.java
+++ b/src/main/java/org/springmill/protocol/PeerMessages.java
@@ -51,13 +51,14 @@
      *
      * @param revision in a question: the asker has read all job records up to it; negative if it takes no news
      * @param bookmark how far the asker has been told; handed out by whoever answers, which alone can read it
-     * @param complete in an answer: nothing remains to be told, and the sender has forgotten nothing, having read the
-     *     job records since it was started
+     * @param complete in an answer: nothing of what the sender knows remains to be told
+     * @param informed whether the sender has read the job records since it was started, and so has forgotten nothing
      */
-    public record News(long revision, long bookmark, boolean complete, List<Cancellation> cancellations) {
+    public record News(long revision, long bookmark, boolean complete, boolean informed,
+            List<Cancellation> cancellations) {
         /** So many cancellations go into one record. */
         public static final int MOST = 100;
-        public static final News NONE = new News(-1, 0, false, List.of());
+        public static final News NONE = new News(-1, 0, false, false, List.of());
     }
 
     /** Cancellations that the sender has just committed, told before its user is. */
@@ -94,6 +95,7 @@
                 out.writeLong(s.news.revision);
                 out.writeLong(s.news.bookmark);
                 out.writeBoolean(s.news.complete);
+                out.writeBoolean(s.news.informed);
                 write(out, s.news.cancellations);
             } else if (message instanceof Cancelled c) {
                 out.writeByte(3);
@@ -128,7 +130,8 @@
                 return new Status(in.readUTF(), in.readLong(), in.readLong(), in.readBoolean(), in.readBoolean(),
                         in.readBoolean(), in.readInt(), in.readBoolean(), in.readInt(), in.readLong(),
                         in.available() == 0 ? News.NONE
-                                : new News(in.readLong(), in.readLong(), in.readBoolean(), readCancellations(in)));
+                                : new News(in.readLong(), in.readLong(), in.readBoolean(), in.readBoolean(),
+                                        readCancellations(in)));
             }
             if (kind == 3) {
                 return new Cancelled(in.readUTF(), readCancellations(in));
