Rounds: a late copy of a transaction no longer raises compacted claims from the dead

A round's transaction that got no answer is sent again unchanged, and relied on the absence of its key. The first key of such a round now stays, emptied, until the next term, in which the copy fails on the leader's record. It costs nothing: a put where a delete was.

--- a/src/main/java/org/springmill/control/storage/RoundLog.java
+++ b/src/main/java/org/springmill/control/storage/RoundLog.java
@@ -35,7 +35,8 @@
  * therefore never disappears before the claim that it ends.
  *
  * <p>A transaction without an answer is sent again, unchanged, until its fate is known: its key must not exist, so
- * only one copy is ever applied.
+ * only one copy is ever applied. The other copy may be carried out at any later time of the term, so that key has to
+ * outlast the round's own content: see {@link #compact}.
  */
 public final class RoundLog {
     private static final Logger LOG = LoggerFactory.getLogger(RoundLog.class);
@@ -66,6 +67,8 @@
         private final Map<String, BitSet> done = new LinkedHashMap<>();
         /** Bytes as written; what is still needed of them only shrinks. */
         private int bytes;
+        /** Whether a copy of its transaction, sent in this term, may still be carried out. */
+        private boolean echoing;
 
         Round(long number) {
             this.number = number;
@@ -208,8 +211,13 @@
         conditions.add(new Condition(round.keys.get(0), 0));
         for (Round old : replaced) {
             old.keys.forEach(key -> writes.add(Write.delete(key)));
+            if (old.echoing) {
+                // A copy that is carried out only now would find its key absent, and raise claims from the dead whose
+                // ends are gone. Emptied, the key refuses it; the next term, in which that copy fails, drops it.
+                writes.set(writes.size() - old.keys.size(), Write.put(old.keys.get(0), Packer.empty()));
+            }
         }
-        commit(conditions, writes, round.keys.get(0), () -> {
+        commit(conditions, writes, round, () -> {
             last = round.number;
             rounds.add(round);
             claims.forEach(claim -> adopt(round, claim));
@@ -276,7 +284,7 @@
         });
     }
 
-    private void commit(List<Condition> conditions, List<Write> writes, String firstKey, Runnable done, Runnable lost) {
+    private void commit(List<Condition> conditions, List<Write> writes, Round round, Runnable done, Runnable lost) {
         if (closed) {
             return;
         }
@@ -287,10 +295,11 @@
             if (result.outcome() == Outcome.COMMITTED) {
                 done.run();
             } else if (result.outcome() == Outcome.REFUSED) {
-                refused(result, firstKey, done, lost);
+                refused(result, round.keys.get(0), done, lost);
             } else {
+                round.echoing |= result.outcome() == Outcome.UNKNOWN;
                 // Unknown, or not now: the same transaction again. It cannot be applied twice.
-                loop.after(retryS(), () -> commit(conditions, writes, firstKey, done, lost));
+                loop.after(retryS(), () -> commit(conditions, writes, round, done, lost));
             }
         });
     }
@@ -323,8 +332,12 @@
             open();
         }
 
+        static ObjectNode empty() {
+            return Json.newObject().put("v", 1);
+        }
+
         private void open() {
-            values.add(Json.newObject().put("v", 1));
+            values.add(empty());
             size = 0;
         }
 
--- a/src/test/java/org/springmill/sim/Rules.java
+++ b/src/test/java/org/springmill/sim/Rules.java
@@ -24,6 +24,8 @@
     private static final double WAITS_S = 90;
     /** Nobody goes without an answer for longer, once all troubles are over. */
     private static final double ANSWERED_S = 75;
+    /** Nor for longer than this at any time while most others get theirs. */
+    private static final double FORGOTTEN_S = 90;
     private static final double EVERY_S = 0.25;
     private static final List<String> REQUIRED = List.of("nameId", "grist", "crew", "shape", "urgency", "sacks",
             "vcpus", "cards", "memGb", "mould", "pullGb", "samePlace", "apart", "loaner", "expectS", "stashEveryS", "stashS");
@@ -36,6 +38,7 @@
     private final Set<String> broken = new LinkedHashSet<>();
     private final List<String> startsAfterCancel = new ArrayList<>();
     private double calmSince = Double.POSITIVE_INFINITY;
+    private boolean polled;
 
     /** What a job's user has asked for and was told, by any controller. */
     private static final class Told {
@@ -81,6 +84,16 @@
         return told == null ? null : told.job;
     }
 
+    /** From now on users ask about all their jobs, so that one without an answer is forgotten. */
+    void polled() {
+        polled = true;
+    }
+
+    /** Accepted jobs that are not over and have tasks that are neither done nor on a machine. */
+    List<String> unserved() {
+        return unfinished().stream().filter(id -> waits(id, jobs.get(id).job)).toList();
+    }
+
     /** Jobs that users may still ask about: accepted and, as far as they know, not over. */
     List<String> unfinished() {
         return jobs.entrySet().stream().filter(e -> e.getValue().accepted <= clock.now() && e.getValue().end == null)
@@ -289,20 +302,30 @@
                 breaks("quota", name);
             }
         });
+        answers(now);
         if (calmSince < now) {
             workGoesOn(now, used);
         }
         clock.after(EVERY_S, this::watch);
     }
 
+    private void answers(double now) {
+        List<String> asking = polled ? unfinished() : List.of();
+        long answered = asking.stream().filter(id -> now - jobs.get(id).answered < FORGOTTEN_S / 9).count();
+        for (String id : asking) {
+            Told told = jobs.get(id);
+            boolean aloneInThis = now - told.answered > FORGOTTEN_S && 2 * answered > asking.size();
+            if (aloneInThis || now - Math.max(told.answered, calmSince) > ANSWERED_S) {
+                breaks("forgotten", id + " gets no answer");
+            }
+        }
+    }
+
     private void workGoesOn(double now, Map<String, double[]> used) {
         jobs.forEach((id, told) -> {
             if (told.accepted > now || told.end != null) {
                 return;
             }
-            if (now - Math.max(told.answered, calmSince) > ANSWERED_S && told.answered > told.accepted) {
-                breaks("forgotten", id + " gets no answer");
-            }
             boolean held = waits(id, told.job) && roomFor(told.job, used.get(told.job.path("crew").asText()));
             told.waitsSince = held ? Math.min(told.waitsSince, now) : Double.POSITIVE_INFINITY;
             if (now - Math.max(told.waitsSince, calmSince) > WAITS_S) {
--- a/src/test/java/org/springmill/sim/SimCloud.java
+++ b/src/test/java/org/springmill/sim/SimCloud.java
@@ -5,8 +5,11 @@
 import com.fasterxml.jackson.databind.node.ArrayNode;
 import com.fasterxml.jackson.databind.node.ObjectNode;
 import java.util.HashMap;
+import java.util.HashSet;
 import java.util.LinkedHashMap;
+import java.util.List;
 import java.util.Map;
+import java.util.Set;
 import org.springmill.transport.HttpClient.Reply;
 import org.springmill.transport.HttpClient.Request;
 
@@ -26,7 +29,7 @@
     private final Map<String, SimWorker> machines = new LinkedHashMap<>();
     private final Map<String, ArrayNode> rentals = new HashMap<>();
     private int named;
-    private boolean empty;
+    private final Set<String> emptyZones = new HashSet<>();
 
     SimCloud(World world) {
         this.world = world;
@@ -34,7 +37,18 @@
 
     /** From now on no machine is to be had. */
     public void runOut() {
-        empty = true;
+        emptyZones.addAll(List.of("a", "b"));
+    }
+
+    /** There are machines again. */
+    public void refill() {
+        emptyZones.clear();
+    }
+
+    /** A machine stops and is gone, as a spot machine is that was taken without notice. */
+    public void take(SimWorker machine) {
+        machines.remove(machine.name());
+        machine.destroy();
     }
 
     public Map<String, SimWorker> machines() {
@@ -80,7 +94,7 @@
     private Reply rent(JsonNode body) {
         String name = body.path("hire").asText();
         if (!rentals.containsKey(name)) {
-            if (empty) {
+            if (emptyZones.contains(body.path("yard").asText())) {
                 return SimState.reply(503, JSON.createObjectNode().put("error", "no capacity"));
             }
             ArrayNode rented = JSON.createArrayNode();
--- a/src/test/java/org/springmill/sim/SimWorker.java
+++ b/src/test/java/org/springmill/sim/SimWorker.java
@@ -261,7 +261,7 @@
             end(task, "busy");
             return;
         }
-        whenAwake(World.FETCH_S, () -> {
+        whenAwake(world.fetchS(), () -> {
             if (tasks.get(key) != task || !task.phase.equals("pulling")) {
                 return;
             }
--- a/src/test/java/org/springmill/sim/World.java
+++ b/src/test/java/org/springmill/sim/World.java
@@ -3,6 +3,7 @@
 import com.fasterxml.jackson.databind.JsonNode;
 import com.fasterxml.jackson.databind.ObjectMapper;
 import com.fasterxml.jackson.databind.node.ObjectNode;
+import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.HashSet;
 import java.util.List;
@@ -39,7 +40,12 @@
     private final Map<String, Double> runTimes = new HashMap<>();
     private final Map<String, Integer> starts = new HashMap<>();
     private final Set<String> cutPeers = new HashSet<>();
+    private final Map<String, Integer> connected = new HashMap<>();
+    private final int[] unready = new int[NODES];
+    private final List<Runnable> heldRecords = new ArrayList<>();
     private final SplittableRandom random;
+    private boolean holdRecords;
+    private double fetchS = FETCH_S;
     private int incarnations;
     private boolean filtered;
 
@@ -94,14 +100,19 @@
             if (cutPeers.contains("n-" + index) || cutPeers.contains(node)) {
                 return;
             }
-            clock.after(0.002, () -> {
+            Runnable delivery = () -> {
                 Node to = nodes[Integer.parseInt(node.substring(2))];
                 if (to == null) {
                     listener.refused(node);
                 } else if (to.listener != null) {
                     to.listener.received(record);
                 }
-            });
+            };
+            if (holdRecords) {
+                heldRecords.add(delivery);
+            } else {
+                clock.after(0.002, delivery);
+            }
         }
 
         @Override
@@ -204,6 +215,31 @@
         filtered = true;
     }
 
+    /** Keeps back what controllers say to each other, until it is delivered to whoever has the address then. */
+    public void holdRecords() {
+        holdRecords = true;
+    }
+
+    public void releaseRecords() {
+        holdRecords = false;
+        heldRecords.forEach(Runnable::run);
+        heldRecords.clear();
+    }
+
+    /** From now on machines take so long to fetch an image. */
+    public void fetchesTake(double seconds) {
+        fetchS = seconds;
+    }
+
+    double fetchS() {
+        return fetchS;
+    }
+
+    /** Has one task of a job run for another time than the rest. */
+    public void runsFor(String task, double seconds) {
+        runTimes.put(task, seconds);
+    }
+
     /** The node whose leadership is on record, or -1. */
     public int leader() {
         JsonNode record = state.value("leader");
@@ -274,15 +310,38 @@
         return answer[0];
     }
 
-    /** Users ask about every unfinished job from now on, every five seconds and wherever the balancer sends them. */
+    /**
+     * Users ask about every unfinished job from now on, every five seconds. Each keeps to one controller for as long as
+     * the balancer finds that one healthy, as an open connection does.
+     */
     public World polled() {
+        rules.polled();
+        balance();
+        poll();
+        return this;
+    }
+
+    private void balance() {
+        for (int i = 0; i < NODES; i++) {
+            int node = i;
+            network.send("balancer", new Request(apiOf(node), "GET", "/ready", new byte[0], 1),
+                    reply -> unready[node] = reply.ok() ? 0 : unready[node] + 1);
+        }
+        clock.after(1, this::balance);
+    }
+
+    private void poll() {
         for (String id : rules.unfinished()) {
-            int node = random.nextInt(NODES);
-            clock.after(random.nextDouble() * POLL_S,
-                    () -> user(node, "GET", "/submissions/" + id, "", 2, reply -> { }));
+            int node = connected.getOrDefault(id, random.nextInt(NODES));
+            // Two probes fail before the balancer takes note, and connections that are open get 5 s.
+            while (unready[node] >= 7 && unready[0] + unready[1] + unready[2] < 7 * NODES) {
+                node = random.nextInt(NODES);
+            }
+            connected.put(id, node);
+            int to = node;
+            clock.after(random.nextDouble() * POLL_S, () -> user(to, "GET", "/submissions/" + id, "", 2, reply -> { }));
         }
-        clock.after(POLL_S, this::polled);
-        return this;
+        clock.after(POLL_S, this::poll);
     }
 
     public int submit(int node, ObjectNode job, double runS) {
@@ -311,7 +370,7 @@
 
     double runTime(String task) {
         String job = task.substring(0, task.indexOf('/'));
-        return runTimes.getOrDefault(job, Double.POSITIVE_INFINITY);
+        return runTimes.getOrDefault(task, runTimes.getOrDefault(job, Double.POSITIVE_INFINITY));
     }
 
     void started(SimWorker on, SimWorker.Task task) {
@@ -338,6 +397,11 @@
         return rules.broken();
     }
 
+    /** Accepted jobs that are not over and have tasks that are neither done nor on a machine. */
+    public List<String> unserved() {
+        return rules.unserved();
+    }
+
     /** Tasks that a machine was told to start, and started, after their user was told that the job is cancelled. */
     public List<String> startsAfterCancel() {
         return rules.startsAfterCancel();
