--- a/src/main/java/org/springmill/control/coordination/Leader.java
+++ b/src/main/java/org/springmill/control/coordination/Leader.java
@@ -239,14 +239,16 @@
 
     /**
      * A leader that no longer hears many of its workers, while another controller does, is the one that is cut off:
-     * their leases would run out under it although the state service sees nothing wrong with it.
+     * their leases would run out under it although the state service sees nothing wrong with it. Machines that never
+     * heard it are none that it has lost: while some were deaf, wandering from one controller to the next, each new
+     * leader gave way in its turn, and none was in office for long enough to replace them.
      */
     private void resignIfCutOff() {
         double now = loop.now();
         int up = 0;
         int silent = 0;
         for (Machine machine : fleet.machines()) {
-            if (machine.state() == Machine.State.UP) {
+            if (machine.state() == Machine.State.UP && machine.hearsThisTerm()) {
                 up++;
                 silent += now - machine.lastHeard() > timing.quietS() ? 1 : 0;
             }
--- a/src/main/java/org/springmill/control/coordination/Machine.java
+++ b/src/main/java/org/springmill/control/coordination/Machine.java
@@ -344,7 +344,12 @@
     /** Whether new work may be sent here at all. */
     boolean takesWork(double now, double quietS) {
         return state == State.UP && !noticed() && !quarantined && !draining && !ordersFailing()
-                && now - lastHeard < quietS && now >= avoidUntil && termOf(seenToken) == termOf(token);
+                && now - lastHeard < quietS && now >= avoidUntil && hearsThisTerm();
+    }
+
+    /** Whether its worker has shown a token of this term. */
+    boolean hearsThisTerm() {
+        return termOf(seenToken) == termOf(token);
     }
 
     /**
--- a/src/main/java/org/springmill/control/coordination/Rentals.java
+++ b/src/main/java/org/springmill/control/coordination/Rentals.java
@@ -112,10 +112,24 @@
             return type.gpus() == 0 ? share : Math.min(share, gpus / type.gpus());
         }
 
+        private boolean suits(Submission spec) {
+            return type.fits(spec) && (!spot || spec.spot()) && (spec.zone() == null || spec.zone().equals(zone));
+        }
+
+        /** How many such tasks find room here. */
+        int holds(Submission spec) {
+            if (!suits(spec)) {
+                return 0;
+            }
+            double byCpus = spec.cpus() == 0 ? spec.tasks() : (cpus + 1e-6) / spec.cpus();
+            double byGpus = spec.gpus() == 0 ? spec.tasks() : (gpus + 1e-6) / spec.gpus();
+            double byMemory = spec.memoryGb() == 0 ? spec.tasks() : (memory + 1e-6) / spec.memoryGb();
+            return (int) Math.min(spec.tasks(), Math.min(byCpus, Math.min(byGpus, byMemory)));
+        }
+
         boolean take(Submission spec, Map<String, Integer> zones) {
-            boolean fits = type.fits(spec) && (!spot || spec.spot()) && (spec.zone() == null || spec.zone().equals(zone))
-                    && spec.cpus() <= cpus + 1e-6 && spec.gpus() <= gpus + 1e-6 && spec.memoryGb() <= memory + 1e-6
-                    && zones.getOrDefault(zone, 0) < spec.perZone();
+            boolean fits = suits(spec) && spec.cpus() <= cpus + 1e-6 && spec.gpus() <= gpus + 1e-6
+                    && spec.memoryGb() <= memory + 1e-6 && zones.getOrDefault(zone, 0) < spec.perZone();
             if (fits) {
                 cpus -= spec.cpus();
                 gpus -= spec.gpus();
@@ -245,6 +259,11 @@
         for (Machine machine : fleet.machinesNow()) {
             if (machine.type() != null) {
                 tend(machine, now, fewSilent);
+            } else if (!machine.attempts().isEmpty() && listedAt - startedAt > 2 * settings.cloud().listLagS()) {
+                // Known from claims alone: an earlier leader gave it up, and ended before that was committed. Without
+                // word from every other controller its silence proves nothing, and it has no address to be asked at:
+                // its claims stood, and their tasks waited, for as long as one controller was away.
+                giveBack(machine, "it is claimed and not listed");
             }
         }
         refusedUntil.values().removeIf(until -> until < now);
@@ -255,10 +274,9 @@
         boolean dark = darkZones.contains(machine.zone());
         switch (machine.state()) {
             case EXPECTED -> {
-                boolean waited = now - startedAt > timing.othersS() + 2 * timing.leaseS();
                 if (asGoodAsDead(machine, now, fewSilent)) {
                     giveBack(machine, "it neither reports nor answers");
-                } else if (waited && !dark && !machine.attempts().isEmpty()) {
+                } else if (longInOffice(now) && !dark && !machine.attempts().isEmpty()) {
                     // Its worker never reported to this leader, and with no word from every other controller its
                     // silence proves nothing: only its deletion does.
                     giveBack(machine, "its worker is not heard of");
@@ -274,6 +292,10 @@
             case UP -> {
                 if (asGoodAsDead(machine, now, fewSilent)) {
                     giveBack(machine, "it neither reports nor answers");
+                } else if (longInOffice(now) && !dark && !machine.attempts().isEmpty() && !machine.hearsThisTerm()) {
+                    // Its reports arrive, and no answer ever does: they renew nothing and prove nothing, and while they
+                    // come it is not silent. What it ran was killed with its lease, and only its deletion proves that.
+                    giveBack(machine, "it does not hear this leader");
                 } else if (machine.quarantined() && machine.attempts().isEmpty()) {
                     giveBack(machine, "it fails what it starts");
                 } else if (machine.draining() && machine.attempts().isEmpty()) {
@@ -284,6 +306,11 @@
         }
     }
 
+    /** Whether a worker that obeyed an earlier leader has had more than its lease to find this one. */
+    private boolean longInOffice(double now) {
+        return now - startedAt > timing.othersS() + 2 * timing.leaseS();
+    }
+
     /**
      * A zone is dark while most of its machines are silent and some controller is, too: it may be cut off and go on
      * working inside, with that controller keeping its workers' leases. What runs there is left alone; deleting the
@@ -381,7 +408,8 @@
             for (Attempt attempt : job.attempts()) {
                 zones.merge(attempt.machine().zone(), 1, Integer::sum);
             }
-            pack(job.spec(), wanted, zones, room, machinesIn, now);
+            Submission spec = job.spec().oneZone() ? bound(job, wanted, room, machinesIn, now) : job.spec();
+            pack(spec, wanted, zones, room, machinesIn, now);
         }
         double bootS = slowestBootS();
         double budget = INSURANCE * fleetCost();
@@ -396,6 +424,31 @@
         }
     }
 
+    /**
+     * A job whose tasks have to be together, as if it were allowed only in the zone where they are; if none runs, where
+     * most of them find room. Machines were rented for the rest in another zone, which seemed to be room for them.
+     */
+    private Submission bound(Job job, int wanted, List<Bin> room, Map<String, Integer> machinesIn, double now) {
+        for (Attempt attempt : job.attempts()) {
+            if (!attempt.machine().zone().isEmpty()) {
+                return job.spec().inZone(attempt.machine().zone());
+            }
+        }
+        Submission best = job.spec();
+        int most = -1;
+        for (String zone : settings.zones()) {
+            Submission there = job.spec().inZone(zone);
+            int holds = room.stream().mapToInt(bin -> bin.holds(there)).sum();
+            boolean enough = holds >= wanted || cheapest(there, wanted, new HashMap<>(), machinesIn, now) != null;
+            boolean allowed = job.spec().zone() == null || job.spec().zone().equals(zone);
+            if (allowed && enough && holds > most) {
+                best = there;
+                most = holds;
+            }
+        }
+        return best;
+    }
+
     /**
      * How many replicas of a class are to find room should part of the fleet fail at once: as many as the same share of
      * machines would hold that is believed to be dead without further doubt, as far as that costs next to nothing. For
--- a/src/test/java/org/springmill/control/coordination/MeetingTest.java
+++ b/src/test/java/org/springmill/control/coordination/MeetingTest.java
@@ -124,4 +124,496 @@
         world.restart(world.leader() < 0 ? 0 : world.leader());
         churn(30, new SplittableRandom(seed + 100));
     }
+
+    /** What nobody renews any more may still be carried out within its lease, for a process that has gone on. */
+    @ParameterizedTest
+    @ValueSource(doubles = {1.2, 1.6, 2, 2.4, 2.7, 4})
+    void aCampaignsWriteIsCarriedOutLate(double afterS) {
+        begin(1);
+        acceptService(JOB, "red", 4, 1);
+        world.run(5);
+        boolean[] hold = {true};
+        world.network().judge((from, request) -> hold[0] && request.path().equals("/commit")
+                && text(request).contains("incarnation") ? Fate.HOLD : Fate.DELIVER);
+        int old = world.leader();
+        world.kill(old);
+        for (int i = 0; i < 200 && !world.network().holdsAny(); i++) {
+            world.run(0.05);
+        }
+        world.run(afterS - 0.3);
+        hold[0] = false;
+        world.run(0.3);
+        world.network().releaseHeld();
+        world.run(10);
+        assertNotEquals(-1, world.leader());
+        world.kill(world.leader());
+        world.restart(old);
+        world.run(10);
+        assertEquals(1, world.starts(JOB + "/0"));
+        accept(World.job(OTHER, "red", "sweep", 2, 1, 1), 2);
+    }
+
+    /** Old reports come after newer ones, also from an earlier session or attempt, to old and new leaders. */
+    @ParameterizedTest
+    @ValueSource(longs = {1, 2, 3})
+    void oldReportsArriveAfterNewerOnes(long seed) {
+        begin(seed);
+        SplittableRandom random = new SplittableRandom(seed);
+        acceptService(JOB, "red", 6, 1);
+        world.network().lateReports(0.6);
+        for (int i = 0; i < 3; i++) {
+            churn(15, random);
+            SimWorker hung = machines().get(random.nextInt(machines().size()));
+            hung.hang(true);
+            world.run(3 + random.nextInt(20));
+            world.restart(Math.max(0, world.leader()));
+            hung.hang(false);
+            churn(10, random);
+        }
+    }
+
+    /** A report is held back until a new leader has acted without it, and then arrives there. */
+    @ParameterizedTest
+    @ValueSource(booleans = {true, false})
+    void aReportArrivesWhenTheNextLeaderHasActed(boolean machineLives) {
+        begin(1);
+        acceptService(JOB, "red", 4, 1);
+        world.run(6);
+        int old = world.leader();
+        SimWorker victim = world.holder(JOB + "/0");
+        int next = (old + 1) % 3;
+        world.kill((old + 2) % 3);
+        world.network().judge((from, request) -> from.equals(victim.name()) || request.address().equals(victim.address())
+                ? request.address().startsWith("10.0.0." + next) ? Fate.HOLD : Fate.DROP : Fate.DELIVER);
+        world.run(1);
+        world.kill(old);
+        world.run(12);
+        assertEquals(next, world.leader());
+        world.restart(old);
+        world.restart((old + 2) % 3);
+        world.run(machineLives ? 1 : 30);
+        if (!machineLives) {
+            world.cloud().take(victim);
+        }
+        world.network().judge((from, request) -> Fate.DELIVER);
+        world.network().releaseHeld();
+        accept(World.job(OTHER, "red", "sweep", 3, 1, 2), 2);
+    }
+
+    @ParameterizedTest
+    @CsvSource({"calm, 0", "outage, 0", "outage, 0.2", "reports, 0.2", "away, 0"})
+    void leadersChangeTenTimesInTwoMinutes(String meanwhile, double late) {
+        begin(3);
+        acceptService(JOB, "red", 6, 1);
+        accept(World.job(OTHER, "blue", "sweep", 3, 1, 1), 5);
+        world.runsFor(OTHER + "/1", 50);
+        world.runsFor(OTHER + "/2", 100);
+        world.state().lateWrites(late);
+        world.network().lateReports(meanwhile.equals("reports") ? 0.5 : 0);
+        for (int i = 0; i < 10; i++) {
+            world.state().setDown(meanwhile.equals("outage") && i >= 3 && i < 6);
+            int leader = Math.max(0, world.leader());
+            world.kill(leader);
+            world.run(meanwhile.equals("away") ? 11 : 1);
+            world.restart(leader);
+            world.run(meanwhile.equals("away") ? 1 : 5);
+            world.submit(i % 3, World.job("run-00070" + i, "blue", "sweep", 1, 1, 1), 3);
+            world.run(5);
+            if (i % 3 == 0) {
+                world.withdraw((i + 1) % 3, "run-00070" + i);
+            }
+        }
+        world.calm().run(60);
+        assertEquals("done", world.phase(0, OTHER));
+        for (int i = 0; i < 3; i++) {
+            assertEquals(1, world.starts(OTHER + "/" + i), "task " + i);
+        }
+    }
+
+    /** More work than room, small and large, over slow links: the largest have to begin, too, within four minutes. */
+    @ParameterizedTest
+    @CsvSource({"normal, sweep", "best_effort, sweep", "urgent, sweep", "normal, service"})
+    void theLargestBeginThoughThereIsMoreWorkThanRoom(String urgency, String shape) {
+        begin(1);
+        world.cloud().runOut();
+        world.fetchesTake(6);
+        int n = 0;
+        for (; n < 20; n++) {
+            world.submit(n % 3, World.job("run-00" + (2000 + n), "blue", "sweep", 6, 1, 1).put("urgency", urgency), 15 + n % 7);
+        }
+        accept(World.job(JOB, "blue", shape, 1, 16, 8).put("urgency", urgency), shape.equals("sweep") ? 20 : FOREVER);
+        for (int i = 0; i < 48 && world.starts(JOB + "/0") == 0; i++) {
+            world.submit(n % 3, World.job("run-00" + (2000 + n++), "blue", "sweep", 7, 1, 1).put("urgency", urgency), 15 + n % 7);
+            world.run(5);
+        }
+        assertEquals(1, world.starts(JOB + "/0"));
+        world.cloud().refill();
+        world.run(150);
+    }
+
+    /** A controller that only workers and users still reach, while jobs are cancelled through another one. */
+    @ParameterizedTest
+    @CsvSource({"30, 0", "60, 0", "110, 0", "60, 12"})
+    void aLeaderIsCutOffFromTheStateServiceAndFromTheOthers(double forS, double hangS) {
+        begin(2);
+        acceptService(JOB, "red", 4, 1);
+        acceptService(OTHER, "blue", 4, 1);
+        world.run(6);
+        int cut = world.leader();
+        world.isolate(cut);
+        world.run(1);
+        SimWorker hung = world.holder(JOB + "/0");
+        hung.hang(hangS > 0);
+        for (int i = 0; i < 20 && !"cancelled".equals(world.withdraw((cut + 1) % 3, JOB)); i++) {
+            world.run(0.5);
+        }
+        world.run(hangS);
+        hung.hang(false);
+        for (int i = 0; i < forS / 5; i++) {
+            world.submit((cut + i) % 3, World.job("run-00080" + i, "blue", "sweep", 1, 1, 1), 3);
+            world.withdraw(cut, "run-00080" + i);
+            world.run(4);
+        }
+        assertEquals(0, world.running(JOB));
+    }
+
+    /** Commands, or their answers, are held up for seconds and the machine goes on. */
+    @ParameterizedTest
+    @CsvSource({"1, true", "2, true", "3, true", "1, false", "2, false"})
+    void commandsOrTheirAnswersAreHeldUp(long seed, boolean commands) {
+        begin(seed);
+        SplittableRandom random = new SplittableRandom(seed);
+        acceptService(JOB, "red", 4, 1);
+        if (commands) {
+            world.network().delayRequests((from, request) -> request.path().equals("/orders") && random.nextInt(3) == 0
+                    ? random.nextDouble() * 9 : 0);
+        } else {
+            world.network().delayAnswers((from, request) -> request.path().equals("/orders") && random.nextInt(3) == 0
+                    || from.startsWith("host") && random.nextInt(5) == 0 ? random.nextDouble() * 9 : 0);
+        }
+        churn(40, random);
+        world.restart(Math.max(0, world.leader()));
+        churn(20, random);
+    }
+
+    /** Waiting work is rented for in that very zone. */
+    @ParameterizedTest
+    @CsvSource({"service, true, false, taken", "sweep, true, false, taken", "service, false, true, taken",
+        "sweep, false, true, taken", "service, true, false, hung", "service, false, true, hung"})
+    void jobsBoundToOneZoneLoseItsMachines(String shape, boolean zoneNamed, boolean samePlace, String how) {
+        begin(1);
+        ObjectNode job = World.job(JOB, "blue", shape, 4, 1, 8).put("samePlace", samePlace);
+        if (zoneNamed) {
+            job.put("yard", "b");
+        }
+        accept(job, shape.equals("sweep") ? 60 : FOREVER);
+        world.run(70);
+        assertEquals(List.of(), world.unserved());
+        String zone = world.holder(JOB + "/0") == null ? "b" : world.holder(JOB + "/0").zone();
+        acceptService(OTHER, "red", 2, 4);
+        for (SimWorker machine : machines()) {
+            if (machine.zone().equals(zone)) {
+                if (how.equals("taken")) {
+                    world.cloud().take(machine);
+                } else {
+                    machine.hang(true);
+                }
+            }
+        }
+        world.run(90);
+        assertEquals(List.of(), world.unserved());
+    }
+
+    /** Controllers hand over and back, all end, and one returns, within a second or so. */
+    @ParameterizedTest
+    @CsvSource({"0.05, false", "0.3, false", "0.9, false", "2.5, false", "0.05, true", "0.3, true", "0.9, true"})
+    void controllersHandOverAndBack(double withinS, boolean wordsOnTheWay) {
+        begin(4);
+        acceptService(JOB, "red", 4, 1);
+        world.run(5);
+        for (int round = 0; round < 4; round++) {
+            int leader = Math.max(0, world.leader());
+            if (wordsOnTheWay) {
+                world.holdRecords();
+            }
+            world.run(0.2);
+            world.kill(leader);
+            world.run(withinS);
+            world.restart(leader);
+            world.run(withinS / 2);
+            world.releaseRecords();
+            world.run(withinS);
+            world.restart(Math.max(0, world.leader()));
+            world.run(withinS);
+            for (int i = 0; i < 3; i++) {
+                world.kill((leader + i) % 3);
+                world.run(withinS / 3);
+            }
+            world.restart((leader + round) % 3);
+            world.run(withinS * 2);
+            world.submit((leader + round) % 3, World.job("run-00090" + round, "blue", "sweep", 1, 1, 1), 2);
+            for (int i = 0; i < 3; i++) {
+                if (i != (leader + round) % 3) {
+                    world.restart(i);
+                }
+            }
+            world.run(5);
+            world.withdraw(round % 3, "run-00090" + round);
+        }
+        world.run(5);
+        for (int i = 0; i < 4; i++) {
+            assertEquals(1, world.starts(JOB + "/" + i), "task " + i);
+        }
+    }
+
+    /** One returns from its end in an outage, with words of its earlier life on the way that say nothing of now. */
+    @ParameterizedTest
+    @ValueSource(doubles = {0.4, 1, 2, 5})
+    void aControllerReturnsAmongWordsOfItsEarlierLife(double heldForS) {
+        begin(5);
+        acceptService(JOB, "red", 4, 1);
+        world.run(5);
+        int leader = world.leader();
+        world.state().setDown(true);
+        world.run(3);
+        world.holdRecords();
+        world.run(0.6);
+        world.kill(leader);
+        world.run(heldForS);
+        world.restart(leader);
+        world.run(0.5);
+        world.state().setDown(false);
+        world.run(1);
+        world.releaseRecords();
+        world.run(0.5);
+        world.state().refuse(leader, true);
+        assertTrue(world.withdraw((leader + 1) % 3, JOB).equals("cancelled") || world.leader() < 0);
+        world.run(20);
+        world.state().refuse(leader, false);
+        world.run(20);
+    }
+
+    @ParameterizedTest
+    @CsvSource({"5, false", "20, false", "45, false", "20, true"})
+    void allControllersAreAway(double forS, boolean outageAfter) {
+        begin(1);
+        acceptService(JOB, "red", 4, 1);
+        acceptService(OTHER, "blue", 3, 2);
+        world.run(6);
+        assertEquals("cancelled", world.withdraw(0, OTHER));
+        for (int i = 0; i < 3; i++) {
+            world.kill(i);
+        }
+        world.run(forS);
+        world.state().setDown(outageAfter);
+        for (int i = 0; i < 3; i++) {
+            world.restart(i);
+        }
+        world.run(10);
+        world.state().setDown(false);
+        world.run(15);
+        assertEquals(4, world.running(JOB));
+        for (int i = 0; i < 4; i++) {
+            assertEquals(forS < 14 && !outageAfter ? 1 : 2, world.starts(JOB + "/" + i), "task " + i);
+        }
+    }
+
+    /** Just when a job's last task ends: of done and cancelled one stands and is told by every controller. */
+    @ParameterizedTest
+    @CsvSource({"calm", "late", "slow"})
+    void aCancellationMeetsTheEndOfTheLastTask(String state) {
+        begin(1);
+        world.state().lateWrites(state.equals("late") ? 0.2 : 0);
+        SplittableRandom random = new SplittableRandom(1);
+        if (state.equals("slow")) {
+            world.network().delayAnswers((from, request) -> request.address().equals("state:1")
+                    ? random.nextDouble() * 0.6 : 0);
+        }
+        for (int i = 0; i < 24; i++) {
+            String id = "run-0003" + (10 + i);
+            ObjectNode job = World.job(id, "red", "sweep", 2, 1, 1);
+            world.submit(i % 3, job, 2);
+            world.run(2.6 + 0.05 * i);
+            List<String> told = new ArrayList<>();
+            for (int node = 0; node < 3; node++) {
+                String path = node == i % 3 ? "/submissions/" + id + "/withdraw" : "/submissions/" + id;
+                world.user(node, node == i % 3 ? "POST" : "GET", path, "", 5, reply -> { });
+                world.user(node, "POST", "/submissions", job.toString(), 5, reply -> { });
+            }
+            world.run(12);
+            for (int node = 0; node < 3; node++) {
+                told.add(world.phase(node, id));
+            }
+            assertEquals(1, new HashSet<>(told).size(), told + " for " + id);
+        }
+    }
+
+    /** A leader ends while machines with long tasks can't be reached, or don't hear the new leader's answer. */
+    @ParameterizedTest
+    @CsvSource({
+        "deaf,        1, returns", "deaf,        3, returns", "deaf,        1, away", "deaf,        3, away",
+        "unreachable, 1, returns", "unreachable, 3, returns", "unreachable, 1, away", "unreachable, 3, away",
+        "mute,        1, returns", "mute,        3, returns", "mute,        3, away", "taken,       1, away",
+        "taken,       3, away",    "deaf,        1, stays",   "deaf,        3, stays", "unreachable, 3, stays",
+    })
+    void aLeaderEndsWhileMachinesDoNotHear(String trouble, int count, String leaders) {
+        begin(1);
+        acceptService(JOB, "blue", 8, 4);
+        accept(World.job(OTHER, "blue", "sweep", 4, 1, 0), 200);
+        world.run(8);
+        List<SimWorker> troubled = machines().subList(0, count);
+        Set<String> names = new HashSet<>();
+        troubled.forEach(machine -> {
+            names.add(machine.name());
+            names.add(machine.address());
+            switch (trouble) {
+                case "deaf" -> world.network().deafen(machine);
+                case "mute" -> world.network().mute(machine);
+                case "taken" -> world.cloud().take(machine);
+                default -> { }
+            }
+        });
+        world.network().judge((from, request) -> trouble.equals("unreachable")
+                && (names.contains(from) || names.contains(request.address())) ? Fate.DROP : Fate.DELIVER);
+        int leader = world.leader();
+        if (!leaders.equals("stays")) {
+            world.kill(leader);
+        }
+        if (leaders.equals("returns")) {
+            world.run(1);
+            world.restart(leader);
+        }
+        world.run(120);
+        // The trouble goes on: what it hit has been replaced.
+        assertEquals(8, world.running(JOB));
+        assertEquals(4, world.running(OTHER));
+        world.restart(leader);
+    }
+
+    /** Jobs of two or three tasks end far apart across changes of leader, with so much else that rounds are rewritten. */
+    @Test
+    void tasksOfAJobEndFarApartAcrossChangesOfLeader() {
+        begin(1);
+        accept(World.job(JOB, "red", "sweep", 3, 1, 1), 4);
+        world.runsFor(JOB + "/1", 70);
+        world.runsFor(JOB + "/2", 140);
+        for (int i = 0; i < 40; i++) {
+            accept(World.job("run-0004" + (10 + i), "blue", "sweep", 3, 1, 1), 1);
+            world.run(3);
+            if (i % 12 == 11) {
+                world.restart(world.leader());
+                world.run(6);
+            }
+        }
+        world.run(20);
+        for (int i = 0; i < 3; i++) {
+            assertEquals("done", world.phase(i, JOB));
+            assertEquals(1, world.starts(JOB + "/" + i), "task " + i);
+        }
+    }
+
+    /** Workers can't open connections to any controller: direct commands stop what is cancelled, nothing new goes there. */
+    @ParameterizedTest
+    @ValueSource(ints = {1, 3})
+    void machinesReachNoController(int count) {
+        begin(1);
+        acceptService(JOB, "blue", 8, 2);
+        acceptService(OTHER, "blue", 8, 1);
+        world.run(6);
+        List<SimWorker> mute = machines().subList(0, count);
+        mute.forEach(world.network()::mute);
+        world.run(1);
+        int before = machines().size();
+        assertEquals("cancelled", world.withdraw(follower(), OTHER));
+        world.run(4);
+        assertEquals(0, world.running(OTHER));
+        assertTrue(machines().size() >= before, "halted directly, not deleted");
+        world.run(70);
+        assertEquals(8, world.running(JOB));
+        int starts = 0;
+        for (int i = 0; i < 8; i++) {
+            starts += world.starts(JOB + "/" + i);
+        }
+        world.run(60);
+        int later = 0;
+        for (int i = 0; i < 8; i++) {
+            later += world.starts(JOB + "/" + i);
+        }
+        assertEquals(starts, later, "nothing is started where its lease must run out");
+    }
+
+    /** A team at its limit, unknown claims on machines that can't be asked, and a cancellation in that spell. */
+    @ParameterizedTest
+    @CsvSource({"1, false", "2, false", "1, true", "2, true"})
+    void aTeamIsAtItsLimitWhenTheLeaderChanges(int silent, boolean hang) {
+        begin(1);
+        acceptService(JOB, "red", 8, 1);
+        acceptService(OTHER, "red", 8, 1);
+        world.run(8);
+        Set<String> names = new HashSet<>();
+        List<SimWorker> machines = machines().subList(0, silent);
+        machines.forEach(machine -> {
+            names.add(machine.name());
+            names.add(machine.address());
+            machine.hang(hang);
+        });
+        world.network().judge((from, request) -> names.contains(from) || names.contains(request.address())
+                ? Fate.DROP : Fate.DELIVER);
+        int leader = world.leader();
+        world.kill(leader);
+        world.run(3);
+        acceptService("run-000003", "red", 8, 1);
+        assertEquals("cancelled", world.withdraw((leader + 1) % 3, OTHER));
+        world.run(10);
+        world.restart(leader);
+        machines.forEach(machine -> machine.hang(false));
+        world.run(60);
+        assertEquals(8, world.running(JOB));
+        assertEquals(8, world.running("run-000003"));
+    }
+
+    /** What is cancelled on machines that hang may not go on when they wake. */
+    @ParameterizedTest
+    @CsvSource({"5, 1, false", "12, 1, false", "30, 1, false", "5, 4, false", "12, 4, false", "30, 4, false",
+        "12, 4, true", "30, 2, true"})
+    void cancelledTasksAreOnMachinesThatHang(double hangS, int machines, boolean leaderEnds) {
+        begin(1);
+        acceptService(JOB, "blue", 8, 2);
+        acceptService(OTHER, "blue", 4, 1);
+        world.run(8);
+        List<SimWorker> hung = machines().subList(0, machines);
+        world.run(0.3);
+        assertEquals("cancelled", world.withdraw(follower(), JOB));
+        hung.forEach(machine -> machine.hang(true));
+        if (leaderEnds) {
+            world.restart(world.leader());
+        }
+        world.run(hangS);
+        hung.forEach(machine -> machine.hang(false));
+        world.run(20);
+        assertEquals(0, world.running(JOB));
+    }
+
+    /** Every answer of the state service takes longer than usual, some longer than anyone waits. */
+    @ParameterizedTest
+    @ValueSource(doubles = {0.3, 0.8, 1.5})
+    void theStateServiceAnswersSlowly(double upToS) {
+        begin(1);
+        SplittableRandom random = new SplittableRandom(7);
+        acceptService(JOB, "red", 4, 1);
+        world.run(5);
+        world.network().delayAnswers((from, request) -> request.address().equals("state:1")
+                && !request.path().startsWith("/changes") ? random.nextDouble() * upToS : 0);
+        churn(60, random);
+        int leader = Math.max(0, world.leader());
+        world.state().refuse(leader, true);
+        world.submit((leader + 1) % 3, World.job(OTHER, "red", "service", 2, 1, 1), FOREVER);
+        world.run(1);
+        world.withdraw((leader + 1) % 3, OTHER);
+        world.state().setDown(true);
+        world.run(50);
+        world.state().setDown(false);
+        world.state().refuse(leader, false);
+        churn(20, random);
+    }
 }
--- a/src/test/java/org/springmill/sim/SimNetwork.java
+++ b/src/test/java/org/springmill/sim/SimNetwork.java
@@ -109,6 +109,10 @@
         stateless.clear();
     }
 
+    public boolean holdsAny() {
+        return !held.isEmpty();
+    }
+
     /** Delivers everything that was held, to nobody's answer. */
     public void releaseHeld() {
         for (Held message : List.copyOf(held)) {
