Rentals: a machine on which a job failed is no room for it

It is never placed there again, and waited for ever where that machine had the only room in its zone (MeetingTest).

--- a/src/main/java/org/springmill/control/coordination/Rentals.java
+++ b/src/main/java/org/springmill/control/coordination/Rentals.java
@@ -7,6 +7,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
+import java.util.function.Predicate;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
 import org.springmill.control.storage.RateLimit;
@@ -409,7 +410,7 @@
                 zones.merge(attempt.machine().zone(), 1, Integer::sum);
             }
             Submission spec = job.spec().oneZone() ? bound(job, wanted, room, machinesIn, now) : job.spec();
-            pack(spec, wanted, zones, room, machinesIn, now);
+            pack(spec, wanted, zones, job::hasFailedOn, room, machinesIn, now);
         }
         double bootS = slowestBootS();
         double budget = INSURANCE * fleetCost();
@@ -484,12 +485,13 @@
     /** Keeps room for so many tasks of a class; in equal parts in all zones where its jobs have to be spread. */
     private void keepReady(Submission job, int tasks, List<Bin> room, Map<String, Integer> machinesIn, double now) {
         if (!job.spread() || job.zone() != null) {
-            pack(job, tasks, null, room, machinesIn, now);
+            pack(job, tasks, null, machine -> false, room, machinesIn, now);
             return;
         }
         List<String> zones = settings.zones();
         for (String zone : zones) {
-            pack(job.inZone(zone), (tasks + zones.size() - 1) / zones.size(), null, room, machinesIn, now);
+            int each = (tasks + zones.size() - 1) / zones.size();
+            pack(job.inZone(zone), each, null, machine -> false, room, machinesIn, now);
         }
     }
 
@@ -550,15 +552,18 @@
      * Finds room for so many tasks, or plans a machine for them.
      *
      * @param zones how many tasks of the same job each zone holds; null if they are of different jobs
+     * @param faulty machines on which the job failed: it is not placed there, and it waited for ever where they were
+     *     the only ones with room
      */
-    private void pack(Submission spec, int tasks, Map<String, Integer> zones, List<Bin> room,
+    private void pack(Submission spec, int tasks, Map<String, Integer> zones, Predicate<String> faulty, List<Bin> room,
             Map<String, Integer> machinesIn, double now) {
         // What has no room for one task has none for the next: each bin is looked at once for all of them.
         int at = 0;
         for (int left = tasks; left > 0; ) {
             Map<String, Integer> taken = zones == null ? new HashMap<>() : zones;
             if (at < room.size()) {
-                if (room.get(at).take(spec, taken)) {
+                Bin bin = room.get(at);
+                if ((bin.machine == null || !faulty.test(bin.machine.name())) && bin.take(spec, taken)) {
                     left--;
                 } else {
                     at++;
