Placement: the largest begin though there is more work than room

What is small took each piece of room as it came free, and a task that needs most of a machine never began (MeetingTest, three urgencies: not within four minutes). After four leases without a place a machine is kept for such a job from work of no higher priority, one machine in eight at a time.

--- a/src/main/java/org/springmill/control/coordination/Placement.java
+++ b/src/main/java/org/springmill/control/coordination/Placement.java
@@ -3,9 +3,12 @@
 import java.util.ArrayList;
 import java.util.Comparator;
 import java.util.HashMap;
+import java.util.HashSet;
+import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.PriorityQueue;
+import java.util.Set;
 import java.util.function.ToDoubleFunction;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
@@ -23,8 +26,17 @@
     /** Worth of keeping room whole for one of the largest replicas; less than any fetch. */
     private static final double SLOT_S = 0.6;
 
+    /** After so many leases without a place some room is kept for a job. */
+    private static final double PATIENCE_LEASES = 4;
+    /** So much of the fleet, one machine at least, is kept for such jobs at a time. */
+    private static final double RESERVED = 1 / 8.0;
+
     private final Fleet fleet;
     private final Timing timing;
+    /** Since when each job has waited for its first place, or a service for room for all of its replicas. */
+    private final Map<Job, Double> waitsSince = new HashMap<>();
+    /** Machines that run empty for a job that waited too long. */
+    private final Map<Machine, Job> reserved = new LinkedHashMap<>();
     private Submission largest;
 
     /**
@@ -107,6 +119,7 @@
         List<Attempt> placed = new ArrayList<>();
         fleet.ledger().releaseHeld();
         List<Job> waiting = waiting();
+        notePatience(waiting, now);
         if (waiting.isEmpty()) {
             return placed;
         }
@@ -126,6 +139,7 @@
                     if (job.spec().service()) {
                         usage(job).hold(job.spec(), job.waiting());
                     }
+                    reserve(job, open, now);
                     break;
                 }
             }
@@ -133,6 +147,81 @@
         return placed;
     }
 
+    private static boolean begun(Job job) {
+        return !job.spec().service() && job.liveCount() > 0;
+    }
+
+    private void notePatience(List<Job> waiting, double now) {
+        Set<Job> waits = new HashSet<>(waiting);
+        waits.removeIf(Placement::begun);
+        waitsSince.keySet().retainAll(waits);
+        waits.forEach(job -> waitsSince.putIfAbsent(job, now));
+        reserved.values().retainAll(waits);
+    }
+
+    /**
+     * Keeps the machine that should have room soonest from work of no higher priority. Where there is more work than
+     * room, what is small takes each piece as it comes free; a task that needs most of a machine never began.
+     */
+    private void reserve(Job job, List<Machine> open, double now) {
+        reserved.keySet().retainAll(new HashSet<>(open));
+        // Nor for one that fails where it runs: it waits for itself.
+        boolean patient = begun(job) || job.machinesFailedOn() > 1
+                || now - waitsSince.get(job) < PATIENCE_LEASES * timing.leaseS();
+        if (patient || reserved.containsValue(job) || reserved.size() >= Math.max(1, open.size() * RESERVED)) {
+            return;
+        }
+        Machine best = null;
+        double soonest = Double.POSITIVE_INFINITY;
+        for (Machine machine : open) {
+            double in = eligible(job, machine) && !reserved.containsKey(machine) ? roomIn(job, machine, now) : soonest;
+            if (in < soonest) {
+                soonest = in;
+                best = machine;
+            }
+        }
+        if (best != null) {
+            LOG.info("{} waits for its turn: {} is kept for it", job.id(), best.name());
+            reserved.put(best, job);
+        }
+    }
+
+    /** When a machine should have room for a task if nothing else is placed there; never if replicas stand in the way. */
+    private static double roomIn(Job job, Machine machine, double now) {
+        double cpus = machine.freeCpus();
+        double gpus = machine.freeGpus();
+        double memory = machine.freeMemory();
+        List<Attempt> ending = new ArrayList<>();
+        for (Attempt attempt : machine.attempts()) {
+            if (!attempt.job().spec().service() || attempt.state() == Attempt.State.STOPPING) {
+                ending.add(attempt);
+            }
+        }
+        ending.sort(Comparator.comparingDouble(attempt -> endsIn(attempt, now)));
+        double in = 0;
+        for (Attempt attempt : ending) {
+            if (fits(job.spec(), cpus, gpus, memory)) {
+                break;
+            }
+            Submission spec = attempt.job().spec();
+            cpus += spec.cpus();
+            gpus += spec.gpus();
+            memory += spec.memoryGb();
+            in = endsIn(attempt, now);
+        }
+        return fits(job.spec(), cpus, gpus, memory) ? in : Double.POSITIVE_INFINITY;
+    }
+
+    private static double endsIn(Attempt attempt, double now) {
+        double ran = attempt.state() == Attempt.State.RUNNING ? now - attempt.runningSince() : 0;
+        return attempt.state() == Attempt.State.STOPPING ? 0 : Math.max(0, attempt.job().spec().estimateS() - ran);
+    }
+
+    private boolean reservedFrom(Job job, Machine machine) {
+        Job other = reserved.get(machine);
+        return other != null && other != job && !job.spec().priority().above(other.spec().priority());
+    }
+
     private boolean placeNext(Job job, Ranking ranking, long round, List<Attempt> placed) {
         Machine machine = ranking.best();
         if (machine == null) {
@@ -180,6 +269,7 @@
     /** A holder of the image first, then the quickest fetch; among equals the one with most free room. */
     private double placingCost(Job job, Machine machine, double now) {
         return machine.hasRoom(job.spec()) && eligible(job, machine) && !machine.keptFrom(job, now)
+                && !reservedFrom(job, machine)
                 ? score(job, machine, now)
                 : Double.POSITIVE_INFINITY;
     }
