--- a/src/test/java/org/springmill/control/coordination/MeetingTest.java
+++ b/src/test/java/org/springmill/control/coordination/MeetingTest.java
@@ -324,6 +324,19 @@
         assertEquals(List.of(), world.unserved());
     }
 
+    /** A machine on which the job failed is no room for it, though nobody else has complained of it yet. */
+    @Test
+    void theOnlyRoomInAZoneIsOnAFaultyMachine() {
+        begin(1);
+        accept(World.job(OTHER, "blue", "service", 1, 1, 8).put("yard", "b"), FOREVER);
+        world.run(5);
+        SimWorker sound = world.holder(OTHER + "/0");
+        machines().stream().filter(m -> m != sound && m.zone().equals("b")).forEach(SimWorker::failEverything);
+        accept(World.job(JOB, "blue", "sweep", 1, 1, 8).put("yard", "b"), 30);
+        world.run(90);
+        assertEquals("done", world.phase(0, JOB));
+    }
+
     /** Controllers hand over and back, all end, and one returns, within a second or so. */
     @ParameterizedTest
     @CsvSource({"0.05, false", "0.3, false", "0.9, false", "2.5, false", "0.05, true", "0.3, true", "0.9, true"})
