--- a/src/main/java/org/springmill/control/coordination/Placement.java
+++ b/src/main/java/org/springmill/control/coordination/Placement.java
@@ -156,7 +156,7 @@
         waits.removeIf(Placement::begun);
         waitsSince.keySet().retainAll(waits);
         waits.forEach(job -> waitsSince.putIfAbsent(job, now));
-        reserved.values().retainAll(waits);
+        reserved.entrySet().removeIf(e -> !waits.contains(e.getValue()) || !e.getKey().takesWork(now, timing.quietS()));
     }
 
     /**
@@ -164,7 +164,6 @@
      * room, what is small takes each piece as it comes free; a task that needs most of a machine never began.
      */
     private void reserve(Job job, List<Machine> open, double now) {
-        reserved.keySet().retainAll(new HashSet<>(open));
         // Nor for one that fails where it runs: it waits for itself.
         boolean patient = begun(job) || job.machinesFailedOn() > 1
                 || now - waitsSince.get(job) < PATIENCE_LEASES * timing.leaseS();
