--- a/src/main/java/org/springmill/control/coordination/Job.java
+++ b/src/main/java/org/springmill/control/coordination/Job.java
@@ -7,26 +7,46 @@
 import java.util.List;
 import java.util.Set;
 import org.agrona.collections.Int2ObjectHashMap;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
 import org.springmill.protocol.Submission;
 import org.springmill.protocol.UserMessages.Phase;
 
 /** A job as its leader sees it: which tasks are done, which are claimed, which wait. */
 final class Job {
+    private static final Logger LOG = LoggerFactory.getLogger(Job.class);
+
     private final Submission spec;
-    private final long arrival;
+    private long arrival;
     private final BitSet done = new BitSet();
     private final Int2ObjectHashMap<Attempt> live = new Int2ObjectHashMap<>();
     private final ArrayDeque<Integer> returned = new ArrayDeque<>();
     private final Set<String> failedOn = new HashSet<>();
     private int fresh;
+    private State state;
     private Phase phase = Phase.QUEUED;
     private long version;
     private double endedAt;
     private double notBefore;
     private boolean ending;
 
+    /** How far a job is on its way. Its tasks have states of their own. */
+    enum State {
+        /** Some job that it needs is not done: it takes nothing, asks for nothing and no task of it is placed. */
+        WAITING,
+        /** Its tasks may be placed. */
+        ELIGIBLE,
+        /** Done or cancelled. */
+        ENDED;
+
+        private boolean mayBecome(State next) {
+            return next == ELIGIBLE && this == WAITING || next == ENDED && this != ENDED;
+        }
+    }
+
     Job(Submission spec, long version) {
         this.spec = spec;
+        this.state = spec.dependencies().isEmpty() ? State.ELIGIBLE : State.WAITING;
         this.arrival = version;
         this.version = version;
     }
@@ -39,7 +59,7 @@
         return spec.id();
     }
 
-    /** Revision at which the job was accepted: jobs are served in this order. */
+    /** Revision at which the job was accepted, or became eligible if it waited: jobs are served in this order. */
     long arrival() {
         return arrival;
     }
@@ -56,14 +76,43 @@
         return endedAt;
     }
 
+    /** The one place where its state changes; false if the change is not a legal one. */
+    private boolean transition(State next) {
+        if (!state.mayBecome(next)) {
+            LOG.error("{} cannot go from {} to {}", spec.id(), state, next);
+            return false;
+        }
+        LOG.debug("{}: {} -> {}", spec.id(), state, next);
+        state = next;
+        return true;
+    }
+
+    /** All that it needs is done, since a revision from which on its times count. */
+    void becomeEligible(long since) {
+        if (transition(State.ELIGIBLE)) {
+            arrival = Math.max(arrival, since);
+        }
+    }
+
+    boolean waitsForOthers() {
+        return state == State.WAITING;
+    }
+
+    boolean eligible() {
+        return state == State.ELIGIBLE;
+    }
+
     void end(Phase terminal, long newVersion, double now) {
+        if (!transition(State.ENDED)) {
+            return;
+        }
         phase = terminal;
         version = newVersion;
         endedAt = now;
     }
 
     boolean active() {
-        return !phase.terminal();
+        return state != State.ENDED;
     }
 
     List<Attempt> attempts() {
@@ -113,7 +162,7 @@
     }
 
     int waiting() {
-        return active() ? spec.tasks() - done.cardinality() - liveNotDone() : 0;
+        return eligible() ? spec.tasks() - done.cardinality() - liveNotDone() : 0;
     }
 
     private int liveNotDone() {
--- a/src/main/java/org/springmill/control/coordination/JobDirectory.java
+++ b/src/main/java/org/springmill/control/coordination/JobDirectory.java
@@ -36,6 +36,7 @@
     private final Timing timing;
     private final double spacingS;
     private final Map<String, JobRecord> jobs = new HashMap<>();
+    private final Chains chains = new Chains(jobs);
     private List<Consumer<Boolean>> waiting = new ArrayList<>();
     private Consumer<JobRecord> listener = job -> { };
     private boolean reading;
@@ -81,6 +82,11 @@
         listener = taker;
     }
 
+    Chains chains() {
+        return chains;
+    }
+
+    /** The record in effect: a job cancelled with one that it needs counts as cancelled, whatever its own record says. */
     JobRecord get(String id) {
         return jobs.get(id);
     }
@@ -93,11 +99,10 @@
     void learn(JobRecord job) {
         JobRecord known = jobs.get(job.id());
         if (known == null || known.version() < job.version()) {
-            jobs.put(job.id(), job);
-            if (job.phase() == Phase.CANCELLED) {
+            if (job.cancelled()) {
                 cancellations.add(new Cancellation(job.id(), job.version(), job.endedAt()));
             }
-            listener.accept(job);
+            chains.learn(job).forEach(listener);
             Cancellation told = cancellations.of(job.id());
             if (told != null && job.active()) {
                 learnEnd(job, told);
@@ -117,7 +122,7 @@
     }
 
     private void learnEnd(JobRecord active, Cancellation told) {
-        learn(new JobRecord(active.id(), active.submission(), Phase.CANCELLED, told.revision(), told.askedAt()));
+        learn(active.ended(Phase.CANCELLED, told.askedAt()).committed(told.revision()));
     }
 
     /** Whether a job is known to be cancelled, even if its record is not known yet. */
--- a/src/main/java/org/springmill/control/coordination/Leader.java
+++ b/src/main/java/org/springmill/control/coordination/Leader.java
@@ -45,6 +45,7 @@
     private final Rounds rounds;
     private final Rentals rentals;
     private final Demand demand;
+    private final CancellationWriter cancellations;
     private JsonNode lastNotes;
     private double tickedAt;
     private boolean rebuilt;
@@ -80,6 +81,7 @@
                     }
                 });
         demand = new Demand(settings, timing.leaseS() * 3, loop.now());
+        cancellations = new CancellationWriter(store, directory, leadership, loop);
         rentals = new Rentals(fleet, placement, demand, peers, http, loop, settings, timing, this::wake);
     }
 
@@ -89,6 +91,7 @@
         orders.close();
         rounds.close();
         rentals.close();
+        cancellations.close();
     }
 
     /** Rebuilds what earlier leaders committed. Reports are answered from the first moment, to keep leases alive. */
@@ -129,8 +132,7 @@
             if (done != null) {
                 job.markDone(done);
             }
-            ledger.add(job);
-            demand.arrived(record.submission(), now, false);
+            admit(job, false);
         }
         for (Claim claim : found.live()) {
             Job known = ledger.job(claim.task().job());
@@ -159,6 +161,7 @@
         tickedAt = loop.now();
         tick();
         broadcast();
+        cancellations.run();
         store.get(ImageNotes.KEY, read -> {
             if (read.entry() != null) {
                 fleet.adopt(ImageNotes.decode(read.entry().value()));
@@ -282,12 +285,13 @@
         if (closed || !rebuilt) {
             return;
         }
+        if (record.phase() == Phase.DONE) {
+            releaseFollowers(record);
+        }
         Job job = ledger.job(record.id());
         if (job == null) {
             if (record.active()) {
-                ledger.add(new Job(record.submission(), record.version()));
-                demand.arrived(record.submission(), loop.now(), true);
-                rounds.request();
+                admit(new Job(record.submission(), record.version()), true);
             }
             return;
         }
@@ -302,6 +306,30 @@
         }
     }
 
+    /** @param counted whether the job came just now, rather than being read back from storage */
+    private void admit(Job job, boolean counted) {
+        ledger.add(job);
+        if (job.waitsForOthers() && directory.chains().ready(job.spec())) {
+            job.becomeEligible(directory.chains().readySince(job.spec()));
+        }
+        if (job.eligible()) {
+            demand.arrived(job.spec(), loop.now(), counted);
+            rounds.request();
+        }
+    }
+
+    /** The jobs of which this was the last one needed are placed in the next round, not found by some later tick. */
+    private void releaseFollowers(JobRecord done) {
+        for (String id : directory.chains().followers(done.id())) {
+            Job follower = ledger.job(id);
+            if (follower != null && follower.waitsForOthers() && directory.chains().ready(follower.spec())) {
+                follower.becomeEligible(done.version());
+                demand.arrived(follower.spec(), loop.now(), true);
+                rounds.request();
+            }
+        }
+    }
+
     private void dropIfOver(Job job) {
         if (!job.active() && job.liveCount() == 0) {
             ledger.dropJob(job);
@@ -330,15 +358,14 @@
         if (closed || !job.active()) {
             return;
         }
-        double endedAt = loop.timeOfDay();
-        var value = JobRecord.encode(job.spec(), Phase.DONE, endedAt);
-        store.commit(List.of(leadership.condition(), new Condition(JobRecord.key(job.id()), job.version())),
-                List.of(Write.put(JobRecord.key(job.id()), value)), result -> {
+        JobRecord done = directory.get(job.id()).ended(Phase.DONE, loop.timeOfDay());
+        store.commit(List.of(leadership.condition(), new Condition(done.key(), job.version())),
+                List.of(Write.put(done.key(), done.encode(store.limits().valueBytes()))), result -> {
                     if (closed) {
                         return;
                     }
                     if (result.outcome() == Outcome.COMMITTED) {
-                        directory.learn(new JobRecord(job.id(), job.spec(), Phase.DONE, result.revision(), endedAt));
+                        directory.learn(done.committed(result.revision()));
                     } else if (result.outcome() == Outcome.REFUSED) {
                         // Cancelled meanwhile, or an earlier copy of this write was applied: the record tells.
                         directory.barrier(ok -> {
--- a/src/main/java/org/springmill/control/coordination/Placement.java
+++ b/src/main/java/org/springmill/control/coordination/Placement.java
@@ -84,7 +84,7 @@
     List<Job> waiting() {
         List<Job> waiting = new ArrayList<>();
         for (Job job : fleet.ledger().jobs().values()) {
-            if (job.active() && job.nextTask() >= 0) {
+            if (job.eligible() && job.nextTask() >= 0) {
                 waiting.add(job);
             }
         }
@@ -211,7 +211,7 @@
             Submission spec = job.spec();
             boolean larger = found == null || spec.gpus() > found.gpus()
                     || spec.gpus() == found.gpus() && spec.cpus() > found.cpus();
-            if (job.active() && spec.service() && larger) {
+            if (job.eligible() && spec.service() && larger) {
                 found = spec;
             }
         }
--- a/src/main/java/org/springmill/control/coordination/UserApi.java
+++ b/src/main/java/org/springmill/control/coordination/UserApi.java
@@ -103,26 +103,58 @@
             call.reply(422, UserMessages.error(impossible), 0);
             return;
         }
+        double since = loop.now();
+        JobRecord job = JobRecord.accepted(submission, loop.timeOfDay());
+        if (refusal(job) == null) {
+            take(call, job, since);
+            return;
+        }
+        // What it names, or the job itself in a repeated submission, may just have been accepted by another controller.
+        directory.barrier(ok -> {
+            String refusal = refusal(job);
+            if (directory.get(job.id()) != null) {
+                answerKnown(call, job.id());
+            } else if (!ok) {
+                later(call, "the state service does not answer");
+            } else if (refusal != null) {
+                call.reply(422, UserMessages.error(refusal), 0);
+            } else {
+                take(call, job, since);
+            }
+        });
+    }
+
+    private String refusal(JobRecord job) {
+        int bytes = job.mostBytes(loop.timeOfDay());
+        if (bytes > store.limits().valueBytes()) {
+            return "takes " + bytes + " bytes to store, more than " + store.limits().valueBytes()
+                    + ": names too many jobs or types";
+        }
+        return directory.chains().refusal(job.submission());
+    }
+
+    private void take(Call call, JobRecord job, double since) {
         if (pending >= maxPending || store.full()) {
             call.reply(429, UserMessages.error("too many submissions"), 1);
             return;
         }
         pending++;
-        create(call, submission, loop.now());
+        create(call, job, since);
     }
 
-    private void create(Call call, Submission submission, double since) {
+    private void create(Call call, JobRecord job, double since) {
         double until = since + ANSWER_WITHIN_S;
-        String key = JobRecord.key(submission.id());
-        store.commit(List.of(new Condition(key, 0)), List.of(Write.put(key, JobRecord.encode(submission))), result -> {
+        Submission submission = job.submission();
+        store.commit(List.of(new Condition(job.key(), 0)), List.of(Write.put(job.key(), job.encode())), result -> {
             switch (result.outcome()) {
                 case COMMITTED -> {
                     pending--;
-                    directory.learn(new JobRecord(submission.id(), submission, Phase.QUEUED, result.revision(), 0));
+                    directory.learn(job.committed(result.revision()));
                     metrics.accepted(since);
                     LOG.debug("{} accepted: {} of {} for {}", submission.id(), submission.tasks(), submission.jobClass(),
                             submission.team());
-                    call.reply(201, UserMessages.phase(submission.id(), Phase.QUEUED), 0);
+                    // Cancelled already if it names a cancelled one.
+                    call.reply(201, UserMessages.phase(job.id(), directory.get(job.id()).phase()), 0);
                 }
                 case REFUSED -> {
                     pending--;
@@ -132,7 +164,7 @@
                 case NOT_NOW, UNKNOWN -> {
                     boolean outage = result.outcome() == StateStore.Outcome.NOT_NOW && !store.reachable();
                     if (loop.now() + timing.stateTimeoutS() < until && !outage) {
-                        loop.after(timing.pingS() / 4, () -> create(call, submission, since));
+                        loop.after(timing.pingS() / 4, () -> create(call, job, since));
                     } else {
                         pending--;
                         later(call, "the state service does not answer");
@@ -236,15 +268,13 @@
             call.reply(200, UserMessages.phase(job.id(), job.phase()), 0);
             return;
         }
-        String key = JobRecord.key(job.id());
-        double endedAt = loop.timeOfDay();
-        store.commit(List.of(new Condition(key, job.version())),
-                List.of(Write.put(key, JobRecord.encode(job.submission(), Phase.CANCELLED, endedAt))), result -> {
+        JobRecord cancelled = job.ended(Phase.CANCELLED, loop.timeOfDay());
+        store.commit(List.of(new Condition(job.key(), job.version())),
+                List.of(Write.put(job.key(), cancelled.encode(store.limits().valueBytes()))), result -> {
                     if (result.outcome() == StateStore.Outcome.COMMITTED) {
-                        directory.learn(new JobRecord(job.id(), job.submission(), Phase.CANCELLED, result.revision(),
-                                endedAt));
+                        directory.learn(cancelled.committed(result.revision()));
                         LOG.debug("{} cancelled", job.id());
-                        announce.accept(new Cancellation(job.id(), result.revision(), endedAt));
+                        announce.accept(new Cancellation(job.id(), result.revision(), cancelled.endedAt()));
                         call.reply(200, UserMessages.phase(job.id(), Phase.CANCELLED), 0);
                     } else if (loop.now() + timing.stateTimeoutS() > until
                             || result.outcome() == StateStore.Outcome.NOT_NOW && !store.reachable()) {
--- a/src/main/java/org/springmill/protocol/RehearsalMessages.java
+++ b/src/main/java/org/springmill/protocol/RehearsalMessages.java
@@ -4,6 +4,7 @@
 import com.fasterxml.jackson.databind.node.ArrayNode;
 import com.fasterxml.jackson.databind.node.ObjectNode;
 import java.nio.charset.StandardCharsets;
+import java.util.List;
 import java.util.LinkedHashMap;
 import java.util.Map;
 
@@ -82,7 +83,7 @@
     /** A submission of two replicas, or of an array. */
     public static byte[] submission(String id, boolean service) {
         return Json.bytes(new Submission(id, "c", "t", service ? Shape.SERVICE : Shape.ARRAY, Priority.PRODUCTION, 2, 1, 0, 1,
-                "image", 1, null, null, false, service, !service, 1, 1, 1, null).toJson());
+                "image", 1, null, null, false, service, !service, 1, 1, 1, null, List.of()).toJson());
     }
 
     private static Answer ok(String json) {
--- a/src/main/java/org/springmill/protocol/Submission.java
+++ b/src/main/java/org/springmill/protocol/Submission.java
@@ -4,7 +4,9 @@
 import com.fasterxml.jackson.databind.node.ArrayNode;
 import com.fasterxml.jackson.databind.node.ObjectNode;
 import java.util.ArrayList;
+import java.util.LinkedHashSet;
 import java.util.List;
+import java.util.Set;
 import java.util.regex.Pattern;
 
 /**
@@ -12,16 +14,18 @@
  *
  * @param types the allowed machine types; null for any
  * @param zone the only allowed zone; null for any
- * @param deadlineS null if the job has none
+ * @param deadlineS from the submission on; null if the job has none
+ * @param dependencies ids of the jobs that have to be done before any task of this one starts, each once; empty for none
  */
 public record Submission(String id, String jobClass, String team, Shape shape, Priority priority, int tasks,
         double cpus, double gpus, double memoryGb, String image, double imageGb, List<String> types, String zone,
         boolean oneZone, boolean spread, boolean spot, double estimateS, double checkpointS, double saveS,
-        Double deadlineS) {
+        Double deadlineS, List<String> dependencies) {
 
     private static final Pattern ID = Pattern.compile("run-[0-9]{1,18}");
     private static final int MAX_TASKS = 100_000;
     private static final int MAX_NAME = 200;
+    private static final String DEPENDENCIES = "waitsOn";
 
     public static boolean validId(String id) {
         return ID.matcher(id).matches();
@@ -41,7 +45,7 @@
                 amount(json, "memGb"), text(json, "mould"), amount(json, "pullGb"), types(json.path("frames")),
                 isAbsent(json.path("yard")) ? null : text(json, "yard"), flag(json, "samePlace"), flag(json, "apart"),
                 flag(json, "loaner"), amount(json, "expectS"), amount(json, "stashEveryS"), amount(json, "stashS"),
-                isAbsent(json.path("dueS")) ? null : amount(json, "dueS"));
+                isAbsent(json.path("dueS")) ? null : amount(json, "dueS"), dependencies(json.path(DEPENDENCIES), id));
     }
 
     /** The same form that {@link #parse} takes; also how a job is kept in the state service. */
@@ -62,6 +66,11 @@
         if (deadlineS != null) {
             json.put("dueS", deadlineS);
         }
+        // Only where used, so that every other record keeps the form that the version before this field reads and writes.
+        if (!dependencies.isEmpty()) {
+            ArrayNode array = json.putArray(DEPENDENCIES);
+            dependencies.forEach(array::add);
+        }
         return json;
     }
 
@@ -78,7 +87,13 @@
     /** The same job as if it were allowed in one zone only. */
     public Submission inZone(String only) {
         return new Submission(id, jobClass, team, shape, priority, tasks, cpus, gpus, memoryGb, image, imageGb, types,
-                only, oneZone, spread, spot, estimateS, checkpointS, saveS, deadlineS);
+                only, oneZone, spread, spot, estimateS, checkpointS, saveS, deadlineS, dependencies);
+    }
+
+    /** The same job without its list of types, which nobody asks for once the job has ended. */
+    public Submission withoutTypes() {
+        return new Submission(id, jobClass, team, shape, priority, tasks, cpus, gpus, memoryGb, image, imageGb, null,
+                zone, oneZone, spread, spot, estimateS, checkpointS, saveS, deadlineS, dependencies);
     }
 
     /** How many tasks of the job one zone may hold. */
@@ -135,4 +150,25 @@
         }
         return List.copyOf(types);
     }
+
+    /** Each job counts once, however often it is named. */
+    private static List<String> dependencies(JsonNode node, String self) throws BadMessageException {
+        if (isAbsent(node)) {
+            return List.of();
+        }
+        if (!node.isArray()) {
+            throw new BadMessageException(DEPENDENCIES + " is not a list");
+        }
+        Set<String> ids = new LinkedHashSet<>();
+        for (JsonNode id : node) {
+            if (!id.isTextual() || !validId(id.textValue())) {
+                throw new BadMessageException(DEPENDENCIES + " holds something that is no job's id");
+            }
+            if (id.textValue().equals(self)) {
+                throw new BadMessageException(DEPENDENCIES + " names the job itself");
+            }
+            ids.add(id.textValue());
+        }
+        return List.copyOf(ids);
+    }
 }
--- /dev/null
+++ b/src/test/java/org/springmill/control/coordination/ChainTest.java
@@ -0,0 +1,290 @@
+package org.springmill.control.coordination;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertNotEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import com.fasterxml.jackson.databind.node.ArrayNode;
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import java.nio.charset.StandardCharsets;
+import java.util.List;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
+import org.junit.jupiter.params.provider.ValueSource;
+import org.springmill.sim.SimNetwork.Fate;
+import org.springmill.sim.World;
+import org.springmill.transport.HttpClient.Reply;
+import org.springmill.transport.HttpClient.Request;
+
+/** Chained jobs, through the whole service. The world notes every task that starts too early. */
+class ChainTest {
+    private World world;
+
+    @BeforeEach
+    void threeControllersAndFourMachines() {
+        world = new World().machines("large", "a", 2).machines("large", "b", 2).run(6);
+        assertNotEquals(-1, world.leader());
+    }
+
+    @AfterEach
+    void noRuleIsBroken() {
+        assertEquals(List.of(), world.broken());
+    }
+
+    private static String id(int number) {
+        return String.format("run-%06d", number);
+    }
+
+    private static ObjectNode job(int number, int tasks, int... needed) {
+        ObjectNode job = World.job(id(number), "red", "sweep", tasks, 1, 1);
+        ArrayNode names = job.putArray("waitsOn");
+        for (int n : needed) {
+            names.add(id(n));
+        }
+        return job;
+    }
+
+    private static ObjectNode service(int number, int tasks, int... needed) {
+        return job(number, tasks, needed).put("shape", "service");
+    }
+
+    private void submit(int node, double runS, ObjectNode job) {
+        assertEquals(201, world.submit(node, job, runS), job.toString());
+    }
+
+    private int follower() {
+        return (world.leader() + 1) % 3;
+    }
+
+    private void allSay(String phase, int... numbers) {
+        for (int number : numbers) {
+            for (int node = 0; node < 3; node++) {
+                assertEquals(phase, world.phase(node, id(number)), id(number) + " at " + node);
+            }
+        }
+    }
+
+    @ParameterizedTest
+    @CsvSource(delimiter = '|', quoteCharacter = '`', value = {
+        "null                             | 201 | queued",
+        "[]                               | 201 | queued",
+        "[~run-000001~]                   | 201 | queued",
+        "[~run-000001~,~run-000001~]      | 201 | queued",
+        "~run-000001~                     | 400 | waitsOn is not a list",
+        "{}                               | 400 | waitsOn is not a list",
+        "[1]                              | 400 | waitsOn holds something that is no job's id",
+        "[null]                           | 400 | waitsOn holds something that is no job's id",
+        "[~job-7~]                        | 400 | waitsOn holds something that is no job's id",
+        "[~run-000009~]                   | 400 | waitsOn names the job itself",
+        "[~run-000001~,~run-000007~]      | 422 | run-000007, which was never accepted",
+        "[~run-000002~]                   | 422 | run-000002, a service",
+    }, ignoreLeadingAndTrailingWhitespace = true)
+    void whatASubmissionNamesIsChecked(String names, int status, String says) {
+        submit(0, 1e9, job(1, 1));
+        submit(0, 1e9, service(2, 1));
+        String body = World.job(id(9), "red", "sweep", 1, 1, 1).toString();
+        body = body.substring(0, body.length() - 1) + ",\"waitsOn\":" + names.replace('~', '"') + "}";
+        Reply reply = world.ask(1, "POST", "/submissions", body);
+        String said = new String(reply.body(), StandardCharsets.UTF_8);
+        assertEquals(status, reply.status(), said);
+        assertTrue(said.contains(says), said);
+    }
+
+    @Test
+    void aListThatNoRecordCanHoldIsRefusedAndSaysSo() {
+        ObjectNode job = job(9, 1);
+        for (int i = 0; i < 1000; i++) {
+            job.withArray("waitsOn").add(id(100 + i));
+        }
+        Reply reply = world.ask(1, "POST", "/submissions", job.toString());
+        assertEquals(422, reply.status());
+        String said = new String(reply.body(), StandardCharsets.UTF_8);
+        assertTrue(said.contains("bytes to store, more than"), said);
+    }
+
+    /** Another controller accepted it a moment ago; without a read of the state service that cannot be told. */
+    @Test
+    void aNameUnknownHereMayBeKnownElsewhere() {
+        world.network().judge((from, request) -> from.equals("n-1") && request.path().startsWith("/changes?under=job")
+                && !request.path().endsWith("waitMs=0") ? Fate.DROP : Fate.DELIVER);
+        world.run(20);
+        submit(0, 30, job(1, 1));
+        submit(1, 1, job(2, 1, 1));
+        submit(0, 30, job(3, 1));
+        world.network().judge((from, request) -> from.equals("n-1") && request.path().startsWith("/changes")
+                ? Fate.REFUSE : Fate.DELIVER);
+        assertEquals(503, world.submit(1, job(4, 1, 3), 1));
+        // Known there already, in whatever state the jobs are that it names.
+        assertEquals(503, world.submit(1, job(3, 1), 1));
+        world.network().judge((from, request) -> Fate.DELIVER);
+        world.run(1);
+        assertEquals(201, world.submit(1, job(4, 1, 3), 1));
+        assertEquals(200, world.submit(1, job(3, 1), 30));
+    }
+
+    @Test
+    void eachStepStartsAtOnceWhenTheLastThatItNeedsIsDone() {
+        submit(0, 4, job(1, 2));
+        submit(1, 4, job(2, 3, 1));
+        submit(2, 9, job(3, 2, 1));
+        submit(0, 4, job(4, 1, 2, 3, 1));
+        allSay("queued", 4);
+        // The image takes a second and each step its time; a second each for reports, records and rounds.
+        world.run(2 + 4 + 1 + 9 + 1 + 4 + 4);
+        allSay("done", 1, 2, 3, 4);
+        assertEquals(200, world.submit(1, job(4, 1, 2, 3, 1), 4));
+    }
+
+    /** The limit of the team is 16 cards. */
+    @Test
+    void whileItWaitsAJobTakesNothing() {
+        submit(0, 30, job(1, 1));
+        submit(0, 1e9, service(2, 15, 1));
+        submit(1, 1e9, service(3, 12));
+        int machines = world.cloud().machines().size();
+        world.run(15);
+        assertEquals(12, world.running(id(3)));
+        assertEquals(0, world.starts(id(2) + "/0"));
+        assertEquals(machines, world.cloud().machines().size());
+        allSay("queued", 2);
+        assertEquals("cancelled", world.withdraw(1, id(3)));
+        world.run(30);
+        assertEquals(15, world.running(id(2)));
+    }
+
+    /** Who is gone or cut off just after the answer. */
+    @ParameterizedTest
+    @ValueSource(strings = {"nobody", "leader", "all", "outage"})
+    void aCancellationIsOneOfAllThatNeedTheJob(String lost) {
+        submit(0, 3, job(1, 1));
+        submit(0, 60, job(2, 1, 1));
+        submit(1, 3, job(3, 2, 1));
+        submit(1, 1, job(4, 1, 2, 3));
+        submit(2, 1, job(5, 1, 4));
+        submit(2, 1, job(6, 1, 3));
+        world.run(10);
+        assertEquals("cancelled", world.withdraw(follower(), id(2)));
+        if (lost.equals("leader") || lost.equals("all")) {
+            for (int node = 0; node < 3; node++) {
+                if (node == world.leader() || lost.equals("all")) {
+                    world.restart(node);
+                }
+            }
+            world.run(3);
+        } else if (lost.equals("outage")) {
+            world.state().setDown(true);
+            world.run(10);
+            world.state().setDown(false);
+            world.run(1);
+        }
+        allSay("cancelled", 2, 4, 5);
+        // One that names it only now is accepted all the same.
+        submit(1, 1, job(7, 1, 5));
+        allSay("cancelled", 7);
+        assertEquals(200, world.submit(0, job(5, 1, 4), 1));
+        assertEquals("cancelled", world.withdraw(0, id(5)));
+        world.run(30);
+        allSay("done", 1, 3, 6);
+        allSay("cancelled", 2, 4, 5, 7);
+        assertEquals("cancelled", world.state().value("job/" + id(7)).path("end").asText());
+        assertEquals(id(5), world.state().value("job/" + id(7)).path("job").path("waitsOn").path(0).asText());
+        assertEquals("done", world.withdraw(1, id(1)));
+        allSay("done", 3);
+    }
+
+    /** Whoever dies, and whichever of its messages goes where, between the end of one step and the start of the next. */
+    @ParameterizedTest
+    @CsvSource({"DROP, end", "LOSE_ANSWER, end", "HOLD, end", "DROP, claim", "LOSE_ANSWER, claim", "HOLD, claim"})
+    void aLeaderDiesBetweenTwoSteps(Fate fate, String what) {
+        submit(follower(), 3, job(1, 2));
+        submit(follower(), 3, job(2, 2, 1));
+        int leader = world.leader();
+        world.network().judge((from, request) -> {
+            String body = new String(request.body(), StandardCharsets.UTF_8);
+            boolean hit = from.equals("n-" + leader) && request.path().equals("/commit")
+                    && (what.equals("end") ? body.contains("\"end\":\"done\"")
+                            : body.contains("\"claims\":[[\"" + id(2)));
+            if (hit) {
+                world.clock().after(0.003, () -> world.kill(leader));
+            }
+            return hit ? fate : Fate.DELIVER;
+        });
+        world.run(12);
+        world.network().releaseHeld();
+        world.run(30);
+        world.restart(leader);
+        world.run(5);
+        allSay("done", 1, 2);
+        for (int i = 0; i < 2; i++) {
+            assertEquals(1, world.starts(id(2) + "/" + i));
+        }
+    }
+
+    @Test
+    void aWaveOfCancellationsIsToldAtOnceAndWrittenSlowly() {
+        submit(0, 1e9, job(1, 1));
+        for (int i = 2; i < 60; i++) {
+            submit(i % 3, 1, job(i, 1, i % 4 == 0 ? 1 : i - 1));
+        }
+        assertEquals("cancelled", world.withdraw(0, id(1)));
+        allSay("cancelled", 2, 31, 59);
+        long before = ended();
+        world.run(10);
+        // A tenth of the 20 changes a second that the state service takes, in steps of half a transaction.
+        assertTrue(ended() - before <= 0.1 * 20 * 10 + 6, ended() + " after " + before);
+        world.run(30);
+        assertEquals(59, ended());
+    }
+
+    private long ended() {
+        return world.state().keysUnder("job/").stream().filter(key -> world.state().value(key).has("end")).count();
+    }
+
+    /** Records as each version wrote them, with those of its rounds, and a leader of this version that takes over. */
+    @Test
+    void aLeaderTakesOverRecordsOfBothGenerations() {
+        for (int node = 0; node < 3; node++) {
+            world.kill(node);
+        }
+        world.run(5);
+        String form = """
+                {"v":1%s,"job":{"nameId":"%s","grist":"c","crew":"red","shape":"sweep","urgency":"normal","sacks":2,\
+                "vcpus":1.0,"cards":1.0,"memGb":1.0,"mould":"img-1","pullGb":1.0,"samePlace":false,"apart":false,\
+                "loaner":false,"expectS":10.0,"stashEveryS":0.0,"stashS":0.0%s}}""";
+        put("job/" + id(1), form.formatted(",\"end\":\"done\",\"at\":1000000900.0", id(1), ""));
+        put("job/" + id(2), form.formatted("", id(2), ""));
+        put("job/" + id(3), form.formatted(",\"accepted\":1000000950.0", id(3), ",\"waitsOn\":[\"run-000001\"]"));
+        put("job/" + id(4), form.formatted(",\"accepted\":1000000950.0", id(4),
+                ",\"waitsOn\":[\"run-000001\",\"run-000002\"]"));
+        put("job/" + id(5), form.formatted(",\"end\":\"cancelled\",\"at\":1000000960.0", id(5), ""));
+        put("job/" + id(6), form.formatted(",\"accepted\":1000000950.0", id(6), ",\"waitsOn\":[\"run-000005\"]"));
+        put("round/000000000000007.00", "{\"v\":1,\"claims\":[[\"run-000001\",0,\"host-000001\",\"k1\"],"
+                + "[\"run-000002\",1,\"host-000009\",\"k2\"]],\"ended\":[],\"done\":[[\"run-000001\",\"0-1\"]]}");
+        put("round/000000000000008.00", "{\"v\":1,\"ended\":[\"k1\",\"k2\"],\"done\":[[\"run-000002\",\"1\"]]}");
+        world.assume(job(1, 2), 0, 1);
+        world.assume(job(2, 2), 1);
+        world.assume(job(3, 2, 1));
+        world.assume(job(4, 2, 1, 2));
+        world.assume(job(5, 2));
+        world.assume(job(6, 2, 5));
+        for (int node = 0; node < 3; node++) {
+            world.restart(node);
+        }
+        world.run(30);
+        allSay("done", 1, 2, 3, 4);
+        assertEquals("cancelled", world.withdraw(0, id(5)));
+        allSay("cancelled", 5, 6);
+        assertEquals(0, world.starts(id(2) + "/1"));
+        // What is written of a job without dependencies is what the version before reads.
+        submit(0, 1, World.job(id(8), "red", "sweep", 2, 1, 1));
+        assertEquals(form.formatted("", id(8), ""), world.state().value("job/" + id(8)).toString());
+    }
+
+    private void put(String key, String value) {
+        world.network().repeat(new Request("state:1", "POST", "/commit", ("{\"when\":[],\"writes\":[{\"write\":\"" + key
+                + "\",\"value\":" + value + "}]}").getBytes(StandardCharsets.UTF_8), 1));
+    }
+}
--- /dev/null
+++ b/src/test/java/org/springmill/control/coordination/ChainsTest.java
@@ -0,0 +1,118 @@
+package org.springmill.control.coordination;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.nio.charset.StandardCharsets;
+import java.util.ArrayList;
+import java.util.Collections;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Random;
+import java.util.TreeSet;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
+import org.springmill.control.storage.JobRecord;
+import org.springmill.protocol.BadMessageException;
+import org.springmill.protocol.Json;
+import org.springmill.protocol.Submission;
+import org.springmill.protocol.UserMessages.Phase;
+
+class ChainsTest {
+    private final Map<String, JobRecord> jobs = new HashMap<>();
+    private final Chains chains = new Chains(jobs);
+
+    /** From a line such as "3<1,2": job 3 needs 1 and 2. */
+    private static Submission job(String line) throws BadMessageException {
+        String[] parts = line.split("<");
+        String body = """
+                {"nameId":"run-%s","grist":"c","crew":"t","shape":"sweep","urgency":"normal","sacks":1,"vcpus":1,
+                 "cards":0,"memGb":1,"mould":"i","pullGb":1,"samePlace":false,"apart":false,"loaner":false,"expectS":1,
+                 "stashEveryS":0,"stashS":0,"waitsOn":[%s]}""".formatted(parts[0],
+                parts.length == 1 ? "" : "\"run-" + parts[1].replace(",", "\",\"run-") + '"');
+        return Submission.parse(Json.object(body.getBytes(StandardCharsets.UTF_8)));
+    }
+
+    private static JobRecord record(String line, Phase phase, long version) throws BadMessageException {
+        return new JobRecord("run-" + line.split("<")[0], job(line), phase, version, 7, 0);
+    }
+
+    private String cancelled() {
+        TreeSet<String> ids = new TreeSet<>();
+        jobs.values().stream().filter(JobRecord::cancelled).forEach(job -> ids.add(job.id().substring(4)));
+        return String.join(" ", ids);
+    }
+
+    /** The same follows from the records in whatever order they are read: pages come by key, changes by revision. */
+    @ParameterizedTest
+    @CsvSource(delimiter = '|', quoteCharacter = '`', value = {
+        "1 2<1 3<2                  | 1     | ``    | 1 2 3",
+        "1 2<1 3<2                  | 2     | 1     | 2 3",
+        "1 2<1 3<1 4<2,3            | 3     | 1     | 3 4",
+        "1 2<1 3<1 4<2,3 5 6<4,5    | 1     | 5     | 1 2 3 4 6",
+        "1 2 3<1 4<2 5<3,4          | 2     | 1 3   | 2 4 5",
+        "1 2 3<1                    | 2     | 1     | 2",
+        // A withdrawn follower, and one whose own record says something else: what it needs is cancelled, so it is.
+        "1 2<1 3<2                  | 1 2   | ``    | 1 2 3",
+        "1 2<1 3<2                  | 1     | 2     | 1 2 3",
+    })
+    void cancellationFollowsFromTheRecordsAlone(String graph, String cancelled, String done, String expected)
+            throws BadMessageException {
+        List<JobRecord> records = new ArrayList<>();
+        for (String line : graph.split(" ")) {
+            String id = line.split("<")[0];
+            records.add(record(line, Phase.QUEUED, Long.parseLong(id)));
+            if (List.of(cancelled.split(" ")).contains(id)) {
+                records.add(record(line, Phase.CANCELLED, 100 + Long.parseLong(id)));
+            } else if (List.of(done.split(" ")).contains(id)) {
+                records.add(record(line, Phase.DONE, 100 + Long.parseLong(id)));
+            }
+        }
+        Random random = new Random(5);
+        for (int order = 0; order < 20; order++) {
+            jobs.clear();
+            Chains again = new Chains(jobs);
+            for (JobRecord next : records) {
+                JobRecord known = jobs.get(next.id());
+                if (known == null || known.version() < next.version()) {
+                    again.learn(next);
+                }
+            }
+            assertEquals(expected, cancelled(), records.toString());
+            Collections.shuffle(records, random);
+        }
+    }
+
+    @Test
+    void chainsAreAsDeepAndWideAsUsersLike() throws BadMessageException {
+        int deep = 50_000;
+        chains.learn(record("1", Phase.QUEUED, 1));
+        for (int i = 2; i <= deep; i++) {
+            chains.learn(record(i + "<" + (i % 2 == 0 ? 1 : i - 1), Phase.QUEUED, i));
+        }
+        assertEquals(deep, chains.learn(record("1", Phase.CANCELLED, deep + 1)).size());
+        assertEquals(deep - 1, chains.unwritten(deep).size());
+        // Written down, a record is a change no more, and only the others are still to be written.
+        assertEquals(1, chains.learn(record("2<1", Phase.CANCELLED, deep + 2)).size());
+        assertEquals(deep - 2, chains.unwritten(deep).size());
+    }
+
+    @Test
+    void aJobIsReadyOnceEveryRecordSaysDone() throws BadMessageException {
+        Submission last = job("4<1,2,3");
+        assertEquals("needs run-1, which was never accepted", chains.refusal(last));
+        for (int i = 1; i <= 3; i++) {
+            chains.learn(record(Integer.toString(i), Phase.QUEUED, i));
+        }
+        assertEquals(null, chains.refusal(last));
+        chains.learn(record("1", Phase.DONE, 11));
+        chains.learn(record("3", Phase.DONE, 13));
+        assertFalse(chains.ready(last));
+        chains.learn(record("2", Phase.DONE, 12));
+        assertTrue(chains.ready(last));
+        assertEquals(13, chains.readySince(last));
+    }
+}
--- a/src/test/java/org/springmill/sim/World.java
+++ b/src/test/java/org/springmill/sim/World.java
@@ -349,6 +349,12 @@
         return ask(node, "POST", "/submissions", job.toString()).status();
     }
 
+    /** Makes known a job that a test has put into the state service itself, and which tasks of it are done. */
+    public void assume(ObjectNode job, int... done) {
+        runTimes.put(job.path("nameId").asText(), 1.0);
+        rules.assume(job, done);
+    }
+
     public String phase(int node, String id) {
         return phaseOf(ask(node, "GET", "/submissions/" + id, ""));
     }
