--- a/src/main/java/org/springmill/control/coordination/CancellationWriter.java
+++ b/src/main/java/org/springmill/control/coordination/CancellationWriter.java
@@ -57,7 +57,7 @@
                 case COMMITTED -> due.forEach(job -> directory.learn(job.committed(result.revision())));
                 // Somebody else has written one of them, or it does not fit: not tried again without end.
                 case REFUSED -> directory.chains().leaveUnwritten(due);
-                case NOT_NOW, UNKNOWN -> { }
+                case TOO_LARGE, NOT_NOW, UNKNOWN -> { }
             }
             loop.after(restS, this::run);
         });
--- a/src/main/java/org/springmill/control/coordination/Leader.java
+++ b/src/main/java/org/springmill/control/coordination/Leader.java
@@ -148,8 +148,8 @@
         }
         rebuilt = true;
         LOG.info("term {}: {} active jobs, {} claims in {} rounds", fleet.term(), active.size(), found.live().size(),
-                log.rounds());
-        rentals.start(log.rounds() == 0);
+                log.kept());
+        rentals.start(log.kept() == 0);
         for (Machine machine : fleet.machinesNow()) {
             machine.askAgain = true;
             orders.poke(machine);
@@ -175,7 +175,7 @@
             return;
         }
         loop.after(timing.leaseS(), this::noteImages);
-        JsonNode notes = fleet.imageNotes().encode(settings.state().valueBytes());
+        JsonNode notes = fleet.imageNotes().encode(store.limits().valueBytes());
         if (leadership.mayPlace() && !notes.equals(lastNotes) && store.backlog() == 0) {
             lastNotes = notes;
             store.commit(List.of(leadership.condition()), List.of(Write.put(ImageNotes.KEY, notes)), result -> { });
@@ -366,6 +366,9 @@
                     }
                     if (result.outcome() == Outcome.COMMITTED) {
                         directory.learn(done.committed(result.revision()));
+                    } else if (result.outcome() == Outcome.REFUSED && result.failed().isEmpty()) {
+                        // The same again would be refused for ever. A later leader tries once more.
+                        LOG.error("{} is done, but its record is refused by the state service", job.id());
                     } else if (result.outcome() == Outcome.REFUSED) {
                         // Cancelled meanwhile, or an earlier copy of this write was applied: the record tells.
                         directory.barrier(ok -> {
@@ -440,7 +443,7 @@
     }
 
     int roundsKept() {
-        return log.rounds();
+        return log.kept();
     }
 
     private void broadcast() {
--- a/src/main/java/org/springmill/control/coordination/Rounds.java
+++ b/src/main/java/org/springmill/control/coordination/Rounds.java
@@ -65,8 +65,8 @@
         }
         wanted = false;
         lastRound = loop.now();
-        List<Attempt> ended = fleet.ledger().takeEnded(log.capacity() / 2);
-        List<Attempt> claimed = placement.place(log.next(), log.capacity() / 2);
+        List<Attempt> ended = fleet.ledger().takeEnded(log.endsPerRound());
+        List<Attempt> claimed = placement.place(log.next(), log.claimsBeside(ended.size()));
         placement.preempt();
         if (ended.isEmpty() && claimed.isEmpty()) {
             return;
--- a/src/main/java/org/springmill/control/coordination/UserApi.java
+++ b/src/main/java/org/springmill/control/coordination/UserApi.java
@@ -109,7 +109,11 @@
             take(call, job, since);
             return;
         }
-        // What it names, or the job itself in a repeated submission, may just have been accepted by another controller.
+        lookAgain(call, job, since);
+    }
+
+    /** What it names, or the job itself in a repeated submission, may just have been accepted by another controller. */
+    private void lookAgain(Call call, JobRecord job, double since) {
         directory.barrier(ok -> {
             String refusal = refusal(job);
             if (directory.get(job.id()) != null) {
@@ -160,6 +164,10 @@
                     pending--;
                     answerKnown(call, submission.id());
                 }
+                case TOO_LARGE -> {
+                    pending--;
+                    lookAgain(call, job, since);
+                }
                 // Not executed, or unknown: the same write again. It is applied once at most.
                 case NOT_NOW, UNKNOWN -> {
                     boolean outage = result.outcome() == StateStore.Outcome.NOT_NOW && !store.reachable();
--- a/src/main/java/org/springmill/control/storage/DoneMarks.java
+++ b/src/main/java/org/springmill/control/storage/DoneMarks.java
@@ -6,25 +6,33 @@
 import java.util.List;
 
 /**
- * Text forms of sets of finished task numbers, in pieces that each fit a value many times over. A piece is a list of
+ * Text forms of sets of finished task numbers, in pieces of a bounded size each. A piece is a list of
  * ranges ("0-17,19") or, where that is shorter, a bitmap ("@16384:base64").
  */
 final class DoneMarks {
-    private static final int WINDOW = 1 << 14;
+    private static final int LARGEST_WINDOW = 1 << 14;
+    private static final int SMALLEST_WINDOW = 1 << 8;
+    /** A character of a bitmap holds so many tasks. */
+    private static final int TASKS_PER_CHARACTER = 6;
 
     private DoneMarks() {
     }
 
-    static List<String> encode(BitSet done) {
+    /** @param most characters of one piece; a value that shrank must still hold a whole one */
+    static List<String> encode(BitSet done, int most) {
+        int window = LARGEST_WINDOW;
+        while (window > SMALLEST_WINDOW && window / TASKS_PER_CHARACTER > most) {
+            window /= 2;
+        }
         List<String> pieces = new ArrayList<>();
         for (int from = done.nextSetBit(0); from >= 0; ) {
-            int base = from / WINDOW * WINDOW;
-            BitSet window = done.get(base, base + WINDOW);
-            String ranges = ranges(window, base);
+            int base = from / window * window;
+            BitSet part = done.get(base, base + window);
+            String ranges = ranges(part, base);
             String bitmap = '@' + Integer.toString(base) + ':'
-                    + Base64.getEncoder().withoutPadding().encodeToString(window.toByteArray());
+                    + Base64.getEncoder().withoutPadding().encodeToString(part.toByteArray());
             pieces.add(ranges.length() <= bitmap.length() ? ranges : bitmap);
-            from = done.nextSetBit(base + WINDOW);
+            from = done.nextSetBit(base + window);
         }
         return pieces;
     }
@@ -47,10 +55,10 @@
         }
     }
 
-    private static String ranges(BitSet window, int base) {
+    private static String ranges(BitSet part, int base) {
         StringBuilder text = new StringBuilder();
-        for (int from = window.nextSetBit(0); from >= 0; ) {
-            int to = window.nextClearBit(from) - 1;
+        for (int from = part.nextSetBit(0); from >= 0; ) {
+            int to = part.nextClearBit(from) - 1;
             if (text.length() > 0) {
                 text.append(',');
             }
@@ -58,7 +66,7 @@
             if (to > from) {
                 text.append('-').append(base + to);
             }
-            from = window.nextSetBit(to + 1);
+            from = part.nextSetBit(to + 1);
         }
         return text.toString();
     }
--- a/src/main/java/org/springmill/control/storage/RoundLog.java
+++ b/src/main/java/org/springmill/control/storage/RoundLog.java
@@ -30,13 +30,15 @@
  * The rounds in the state service, under {@code round/<number>.<part>}: append-only, strictly rising across leaders.
  *
  * <p>A round holds its claims, the ends of earlier claims and marks of finished tasks, in one transaction that is
- * conditional on the leader's own record, so that one applied late, after another leader took over, fails. Old rounds
- * are deleted from the oldest on, in transactions whose own round carries what is still needed of them; an end
- * therefore never disappears before the claim that it ends.
+ * conditional on the leader's own record, so that one applied late, after another leader took over, fails. Old values
+ * are deleted from the oldest on, once later ones carry what is still needed of them; an end therefore never
+ * disappears before the claim that it ends. What is needed of one value may be carried by several transactions, before
+ * the one that deletes it: read back in order, the last copy of a claim counts. So a value written under larger limits
+ * is split by and by, and no transaction grows with what is stored.
  *
  * <p>A transaction without an answer is sent again, unchanged, until its fate is known: its key must not exist, so
  * only one copy is ever applied. The other copy may be carried out at any later time of the term, so that key has to
- * outlast the round's own content: see {@link #compact}.
+ * outlast the round's own content: see {@link Append}.
  */
 public final class RoundLog {
     private static final Logger LOG = LoggerFactory.getLogger(RoundLog.class);
@@ -44,34 +46,40 @@
     static final String PREFIX = "round/";
     /** Room for punctuation around what is counted when a value is filled. */
     private static final double FILL = 0.9;
-    /** What one claim or end takes at most, roughly; bounds how many go into a round. */
-    private static final int ITEM_BYTES = 128;
+    /** What one claim takes, roughly, and one end with the mark of its task; bounds how many go into a round. */
+    private static final int CLAIM_BYTES = 96;
+    private static final int END_BYTES = 64;
+    /** No round has more claims than this, nor more ends, so that a controller with little processor time keeps up. */
+    private static final int MOST_ITEMS = 96;
     private static final int MAX_COMMIT_BYTES = 48 * 1024;
-    /** A leader reads all rounds when it takes over: no more of them than come in a few pages. */
-    private static final int MAX_ROUNDS = 500;
+    /** A leader reads everything when it takes over: no more values than come in a few pages. */
+    private static final int MAX_PARTS = 500;
 
     private final StateStore store;
     private final Loop loop;
     private final Condition leadership;
     private final Predicate<String> jobActive;
-    private final ArrayDeque<Round> rounds = new ArrayDeque<>();
-    private final Map<String, Round> homes = new HashMap<>();
+    private final ArrayDeque<Part> parts = new ArrayDeque<>();
+    private final Map<String, Part> homes = new HashMap<>();
     private long last;
     private boolean closed;
 
-    /** One round as far as it is still needed. */
-    private static final class Round {
-        private final long number;
-        private final List<String> keys = new ArrayList<>();
+    /** One value as far as it is still needed: a round, or part of one. */
+    private static final class Part {
+        private final String key;
         private final Map<String, Claim> claims = new LinkedHashMap<>();
         private final Map<String, BitSet> done = new LinkedHashMap<>();
-        /** Bytes as written; what is still needed of them only shrinks. */
+        /** Bytes as written, roughly; what is still needed of them only shrinks. */
         private int bytes;
         /** Whether a copy of its transaction, sent in this term, may still be carried out. */
         private boolean echoing;
 
-        Round(long number) {
-            this.number = number;
+        Part(String key) {
+            this.key = key;
+        }
+
+        void mark(String job, BitSet tasks) {
+            done.computeIfAbsent(job, j -> new BitSet()).or(tasks);
         }
     }
 
@@ -95,15 +103,25 @@
         return last + 1;
     }
 
-    /** How many claims and ends one round may hold. */
-    public int capacity() {
-        // Half for claims, half for ends. Where values are small, as many as one transaction may write.
+    /** How many ends one round may hold: they have half of it, and claims have what is left. */
+    public int endsPerRound() {
+        return Math.max(1, Math.min(MOST_ITEMS, roundBytes() / 2 / END_BYTES));
+    }
+
+    /** How many claims fit into a round beside so many ends. */
+    public int claimsBeside(int ends) {
+        return Math.max(1, Math.min(MOST_ITEMS, (roundBytes() - ends * END_BYTES) / CLAIM_BYTES));
+    }
+
+    /** Two writes are left for replacing older values. */
+    private int roundBytes() {
         int values = Math.max(1, store.limits().writesPerCommit() - 2);
-        return (int) Math.min(MAX_COMMIT_BYTES, values * store.limits().valueBytes() * FILL) / 2 / ITEM_BYTES;
+        return (int) Math.min(MAX_COMMIT_BYTES, values * store.limits().valueBytes() * FILL);
     }
 
-    public int rounds() {
-        return rounds.size();
+    /** How many values are kept. */
+    public int kept() {
+        return parts.size();
     }
 
     /** No more transactions are sent, nor answers passed on, once the leadership has ended. */
@@ -128,49 +146,45 @@
             for (Entry entry : page.entries()) {
                 int dot = entry.key().lastIndexOf('.');
                 long number = Long.parseLong(entry.key(), PREFIX.length(), dot, 10);
-                if (rounds.isEmpty() || rounds.getLast().number != number) {
-                    rounds.add(new Round(number));
-                }
-                Round round = rounds.getLast();
-                round.keys.add(entry.key());
-                round.bytes += (entry.value().path("claims").size() + entry.value().path("ended").size()) * ITEM_BYTES;
-                replay(entry.value(), round);
+                Part part = new Part(entry.key());
+                part.bytes = entry.value().path("claims").size() * CLAIM_BYTES
+                        + entry.value().path("ended").size() * END_BYTES;
+                parts.add(part);
+                replay(entry.value(), part, number);
                 last = number;
             }
-            for (Round round : rounds) {
-                round.done.forEach((job, set) -> marks.computeIfAbsent(job, j -> new BitSet()).or(set));
-            }
             List<Claim> live = new ArrayList<>();
-            for (Round round : rounds) {
-                live.addAll(round.claims.values());
+            for (Part part : parts) {
+                part.done.forEach((job, set) -> marks.computeIfAbsent(job, j -> new BitSet()).or(set));
+                live.addAll(part.claims.values());
             }
             done.accept(new Rebuilt(live, marks));
         });
     }
 
-    private void replay(JsonNode value, Round round) {
+    private void replay(JsonNode value, Part part, long round) {
         for (JsonNode c : value.path("claims")) {
-            long number = c.size() > 4 ? c.path(4).longValue() : round.number;
+            long number = c.size() > 4 ? c.path(4).longValue() : round;
             Claim claim = new Claim(c.path(3).asText(), new TaskId(c.path(0).asText(), c.path(1).asInt()),
                     c.path(2).asText(), number);
-            adopt(round, claim);
+            adopt(part, claim);
         }
         for (JsonNode key : value.path("ended")) {
             dropClaim(key.asText());
         }
         for (JsonNode d : value.path("done")) {
-            DoneMarks.decode(d.path(1).asText(), round.done.computeIfAbsent(d.path(0).asText(), j -> new BitSet()));
+            DoneMarks.decode(d.path(1).asText(), part.done.computeIfAbsent(d.path(0).asText(), j -> new BitSet()));
         }
     }
 
-    private void adopt(Round round, Claim claim) {
+    private void adopt(Part part, Claim claim) {
         dropClaim(claim.key());
-        round.claims.put(claim.key(), claim);
-        homes.put(claim.key(), round);
+        part.claims.put(claim.key(), claim);
+        homes.put(claim.key(), part);
     }
 
     private void dropClaim(String key) {
-        Round home = homes.remove(key);
+        Part home = homes.remove(key);
         if (home != null) {
             home.claims.remove(key);
         }
@@ -182,138 +196,214 @@
      * @param lost called instead when the state service shows that the leadership is over
      */
     public void append(List<Claim> claims, List<End> ends, Runnable done, Runnable lost) {
-        Round round = new Round(last + 1);
-        Packer packer = new Packer(store.limits().valueBytes());
-        for (Claim claim : claims) {
-            packer.claim(claim, round.number);
-        }
-        Map<String, BitSet> newlyDone = new LinkedHashMap<>();
-        for (End end : ends) {
-            packer.ended(end.claim().key());
-            if (end.done()) {
-                newlyDone.computeIfAbsent(end.claim().task().job(), j -> new BitSet()).set(end.claim().task().index());
+        new Append(claims, ends, last + 1, done, lost).send();
+    }
+
+    /** One transaction on its way, until its fate is known. */
+    private final class Append {
+        private final List<Claim> claims;
+        private final List<End> ends;
+        private final long number;
+        private final Runnable done;
+        private final Runnable lost;
+        private final Packer packer;
+        private final List<Part> replaced;
+        private final List<Condition> conditions = new ArrayList<>();
+        private final List<Write> writes = new ArrayList<>();
+        /** A larger transaction of the same number went unanswered: it may be the one that was applied. */
+        private Append larger;
+        private boolean uncertain;
+
+        Append(List<Claim> claims, List<End> ends, long number, Runnable done, Runnable lost) {
+            this.claims = claims;
+            this.ends = ends;
+            this.number = number;
+            this.done = done;
+            this.lost = lost;
+            packer = new Packer(number, store.limits().valueBytes());
+            claims.forEach(packer::claim);
+            Map<String, BitSet> newlyDone = new LinkedHashMap<>();
+            Set<String> ending = new HashSet<>();
+            for (End end : ends) {
+                packer.ended(end.claim().key());
+                ending.add(end.claim().key());
+                if (end.done()) {
+                    newlyDone.computeIfAbsent(end.claim().task().job(), j -> new BitSet()).set(end.claim().task().index());
+                }
             }
-        }
-        newlyDone.forEach(packer::done);
-        Set<String> ending = new HashSet<>();
-        ends.forEach(end -> ending.add(end.claim().key()));
-        List<Round> replaced = compact(packer, round.number, ending);
-        round.bytes = packer.total;
-
-        List<Condition> conditions = new ArrayList<>();
-        conditions.add(leadership);
-        List<Write> writes = new ArrayList<>();
-        for (int part = 0; part < packer.values.size(); part++) {
-            String key = String.format("%s%015d.%02d", PREFIX, round.number, part);
-            round.keys.add(key);
-            writes.add(Write.put(key, packer.values.get(part)));
-        }
-        conditions.add(new Condition(round.keys.get(0), 0));
-        for (Round old : replaced) {
-            old.keys.forEach(key -> writes.add(Write.delete(key)));
-            if (old.echoing) {
+            newlyDone.forEach(packer::done);
+            replaced = compact(packer, ending);
+            packer.values.forEach(value -> writes.add(Write.put(value.part.key, value.json)));
+            for (Part old : replaced) {
                 // A copy that is carried out only now would find its key absent, and raise claims from the dead whose
                 // ends are gone. Emptied, the key refuses it; the next term, in which that copy fails, drops it.
-                writes.set(writes.size() - old.keys.size(), Write.put(old.keys.get(0), Packer.empty()));
+                writes.add(old.echoing ? Write.put(old.key, Packer.empty()) : Write.delete(old.key));
             }
+            conditions.add(leadership);
+            conditions.add(new Condition(firstKey(), 0));
         }
-        commit(conditions, writes, round, () -> {
-            last = round.number;
-            rounds.add(round);
-            claims.forEach(claim -> adopt(round, claim));
-            newlyDone.forEach((job, set) -> round.done.computeIfAbsent(job, j -> new BitSet()).or(set));
-            for (Round old : replaced) {
-                rounds.remove(old);
-                new ArrayList<>(old.claims.values()).forEach(claim -> adopt(round, claim));
-                old.done.forEach((job, set) -> {
-                    if (jobActive.test(job)) {
-                        round.done.computeIfAbsent(job, j -> new BitSet()).or(set);
+
+        private String firstKey() {
+            return packer.values.get(0).part.key;
+        }
+
+        void send() {
+            if (closed) {
+                return;
+            }
+            if (writes.size() > store.limits().writesPerCommit() && claims.size() + ends.size() > 1) {
+                // A gang larger than a round: its members are claimed together, but not in one transaction.
+                split();
+                return;
+            }
+            store.commit(conditions, writes, result -> {
+                if (closed) {
+                    return;
+                }
+                switch (result.outcome()) {
+                    case COMMITTED -> applied();
+                    case REFUSED -> refused(result);
+                    case TOO_LARGE -> split();
+                    // The same transaction again. It cannot be applied twice.
+                    case NOT_NOW, UNKNOWN -> {
+                        uncertain |= result.outcome() == Outcome.UNKNOWN;
+                        loop.after(retryS(), this::send);
                     }
-                });
+                }
+            });
+        }
+
+        private void refused(CommitResult result) {
+            if (result.failed().contains(leadership.key()) || !result.failed().contains(firstKey())) {
+                if (!result.failed().contains(leadership.key())) {
+                    LOG.error("round {} is refused by the state service", firstKey());
+                }
+                lost.run();
+            } else if (larger == null) {
+                // The key exists and the leadership held: only this leader writes rounds, so an earlier copy was applied.
+                applied();
+            } else {
+                findOut();
             }
+        }
+
+        /** One of several of this number may have been applied: what stands there tells which. */
+        private void findOut() {
+            store.get(firstKey(), read -> {
+                if (closed) {
+                    return;
+                }
+                if (read.entry() == null) {
+                    loop.after(retryS(), this::send);
+                    return;
+                }
+                for (Append sent = this; sent != null; sent = sent.larger) {
+                    if (items(read.entry().value()).equals(items(sent.packer.values.get(0).json))) {
+                        sent.applied();
+                        return;
+                    }
+                }
+                LOG.error("round {} holds what was never sent", firstKey());
+                lost.run();
+            });
+        }
+
+        private static List<String> items(JsonNode value) {
+            List<String> keys = new ArrayList<>();
+            value.path("claims").forEach(claim -> keys.add(claim.path(3).asText()));
+            value.path("ended").forEach(key -> keys.add(key.asText()));
+            return keys;
+        }
+
+        /**
+         * The service takes less than its settings said. The round goes in two halves, the second under the next number
+         * but with its claims' own; smaller limits are kept to from now on, so the last halves are as small as can be.
+         */
+        private void split() {
+            int claimsHalf = (claims.size() + 1) / 2;
+            int endsHalf = ends.size() / 2;
+            boolean more = claims.size() + ends.size() > 1;
+            Append first = new Append(more ? claims.subList(0, claimsHalf) : claims, more ? ends.subList(0, endsHalf) : ends,
+                    number, more ? () -> secondHalf(claimsHalf, endsHalf) : done, lost);
+            first.larger = uncertain ? this : larger;
+            first.send();
+        }
+
+        private void secondHalf(int claimsFrom, int endsFrom) {
+            new Append(claims.subList(claimsFrom, claims.size()), ends.subList(endsFrom, ends.size()), last + 1, done,
+                    lost).send();
+        }
+
+        private void applied() {
+            last = number;
+            for (Append sent = this; sent != null; sent = sent.larger) {
+                packer.values.get(0).part.echoing |= sent.uncertain;
+            }
+            for (Packer.Value value : packer.values) {
+                parts.add(value.part);
+                value.claims.forEach(claim -> adopt(value.part, claim));
+            }
+            parts.removeAll(replaced);
+            packer.carriedDone.forEach((job, old) -> old.done.remove(job));
             ends.forEach(end -> dropClaim(end.claim().key()));
             done.run();
-        }, lost);
+        }
     }
 
     private int storedBytes() {
-        return rounds.stream().mapToInt(round -> round.bytes).sum();
+        return parts.stream().mapToInt(part -> part.bytes).sum();
     }
 
     private int neededBytes() {
-        return rounds.stream().mapToInt(round -> round.claims.size() * ITEM_BYTES).sum();
+        return parts.stream().mapToInt(part -> part.claims.size() * CLAIM_BYTES).sum();
     }
 
-    /** Carries what is needed of the oldest rounds into the packer and returns those that may then be deleted. */
-    private List<Round> compact(Packer packer, long number, Set<String> ending) {
-        int allowed = store.limits().writesPerCommit() - packer.values.size() - 2;
+    /**
+     * Carries what is needed of the oldest values into the packer, as far as the transaction has room, and returns those
+     * that may be deleted with it. A claim that this same round ends is left out: carried in a later part than its end,
+     * it would live again.
+     */
+    private List<Part> compact(Packer packer, Set<String> ending) {
+        int most = store.limits().writesPerCommit();
         // Carrying costs writes: it waits until half of what is stored is no longer needed, so that what is carried
         // stays in proportion to what is new. A fleet's worth of long-lived claims was rewritten every few rounds.
-        boolean few = rounds.size() < 2 * store.limits().writesPerCommit();
-        if (few || rounds.size() < MAX_ROUNDS && storedBytes() < 2 * neededBytes()) {
+        boolean few = parts.size() < 2 * most;
+        if (few || parts.size() < MAX_PARTS && storedBytes() < 2 * neededBytes()) {
             return List.of();
         }
-        List<Round> replaced = new ArrayList<>();
-        int budget = store.limits().valueBytes();
-        int deletes = 0;
-        for (Round old : rounds) {
-            Packer probe = new Packer(store.limits().valueBytes());
-            carry(old, probe, number, ending);
-            deletes += old.keys.size();
-            budget -= probe.total;
-            if (deletes > allowed || budget < 0 && !replaced.isEmpty()) {
+        List<Part> replaced = new ArrayList<>();
+        int until = packer.total + store.limits().valueBytes();
+        for (Part old : parts) {
+            boolean whole = packer.values.size() + replaced.size() < most
+                    && carry(old, packer, ending, most - replaced.size() - 1, until);
+            if (!whole) {
                 break;
             }
-            carry(old, packer, number, ending);
             replaced.add(old);
         }
         return replaced;
     }
 
-    /** A claim that this same round ends is left out: carried in a later part than its end, it would live again. */
-    private void carry(Round old, Packer into, long number, Set<String> ending) {
+    /** False if not all that is needed has room in so many values and so many bytes in all. */
+    private boolean carry(Part old, Packer into, Set<String> ending, int mostValues, int until) {
         for (Claim claim : old.claims.values()) {
             if (!ending.contains(claim.key())) {
-                into.claim(claim, number);
+                if (!into.hasRoom(List.of(Packer.bytes(claim)), mostValues, until)) {
+                    return false;
+                }
+                into.claim(claim);
             }
         }
-        old.done.forEach((job, set) -> {
-            if (jobActive.test(job)) {
-                into.done(job, set);
-            }
-        });
-    }
-
-    private void commit(List<Condition> conditions, List<Write> writes, Round round, Runnable done, Runnable lost) {
-        if (closed) {
-            return;
-        }
-        store.commit(conditions, writes, result -> {
-            if (closed) {
-                return;
-            }
-            if (result.outcome() == Outcome.COMMITTED) {
-                done.run();
-            } else if (result.outcome() == Outcome.REFUSED) {
-                refused(result, round.keys.get(0), done, lost);
-            } else {
-                round.echoing |= result.outcome() == Outcome.UNKNOWN;
-                // Unknown, or not now: the same transaction again. It cannot be applied twice.
-                loop.after(retryS(), () -> commit(conditions, writes, round, done, lost));
-            }
-        });
-    }
-
-    private void refused(CommitResult result, String firstKey, Runnable done, Runnable lost) {
-        if (result.failed().contains(leadership.key()) || !result.failed().contains(firstKey)) {
-            if (!result.failed().contains(leadership.key())) {
-                LOG.error("round {} is refused by the state service", firstKey);
+        for (Map.Entry<String, BitSet> marks : old.done.entrySet()) {
+            if (jobActive.test(marks.getKey())) {
+                if (!into.hasRoom(into.bytes(marks.getKey(), marks.getValue()), mostValues, until)) {
+                    return false;
+                }
+                into.done(marks.getKey(), marks.getValue());
+                into.carriedDone.put(marks.getKey(), old);
             }
-            lost.run();
-        } else {
-            // The key exists and the leadership held: only this leader writes rounds, so an earlier copy was applied.
-            done.run();
         }
+        return true;
     }
 
     private double retryS() {
@@ -322,12 +412,25 @@
 
     /** Fills values with the parts of a round, each up to its limit. */
     private static final class Packer {
-        private final List<ObjectNode> values = new ArrayList<>();
+        private final List<Value> values = new ArrayList<>();
+        private final Map<String, Part> carriedDone = new HashMap<>();
+        private final long number;
         private final int limit;
-        private int size;
         private int total;
 
-        Packer(int valueBytes) {
+        /** One value, and what it means. */
+        private static final class Value {
+            private final ObjectNode json = empty();
+            private final List<Claim> claims = new ArrayList<>();
+            private final Part part;
+
+            Value(String key) {
+                part = new Part(key);
+            }
+        }
+
+        Packer(long number, int valueBytes) {
+            this.number = number;
             limit = (int) (valueBytes * FILL);
             open();
         }
@@ -337,17 +440,52 @@
         }
 
         private void open() {
-            values.add(empty());
-            size = 0;
+            values.add(new Value(String.format("%s%015d.%02d", PREFIX, number, values.size())));
+        }
+
+        private Value current() {
+            return values.get(values.size() - 1);
+        }
+
+        private static int bytes(Claim claim) {
+            return claim.task().job().length() + claim.machine().length() + claim.key().length() + 44;
+        }
+
+        private static int bytes(String job, String piece) {
+            return job.length() + piece.length() + 7;
+        }
+
+        List<Integer> bytes(String job, BitSet set) {
+            return pieces(set).stream().map(piece -> bytes(job, piece)).toList();
+        }
+
+        private List<String> pieces(BitSet set) {
+            return DoneMarks.encode(set, limit / 2);
+        }
+
+        /** Whether items of these sizes fit into so many values and, with all that is there, so many bytes. */
+        boolean hasRoom(List<Integer> sizes, int mostValues, int until) {
+            int count = values.size();
+            int left = limit - current().part.bytes;
+            int sum = 0;
+            for (int bytes : sizes) {
+                if (bytes > left) {
+                    count++;
+                    left = limit;
+                }
+                left -= bytes;
+                sum += bytes;
+            }
+            return count <= mostValues && total + sum <= until;
         }
 
-        void claim(Claim claim, long number) {
-            ArrayNode array = array("claims", claim.task().job().length() + claim.machine().length()
-                    + claim.key().length() + 44).addArray();
+        void claim(Claim claim) {
+            ArrayNode array = array("claims", bytes(claim)).addArray();
             array.add(claim.task().job()).add(claim.task().index()).add(claim.machine()).add(claim.key());
             if (claim.round() != number) {
                 array.add(claim.round());
             }
+            current().claims.add(claim);
         }
 
         void ended(String key) {
@@ -355,18 +493,21 @@
         }
 
         void done(String job, BitSet set) {
-            for (String piece : DoneMarks.encode(set)) {
-                array("done", job.length() + piece.length() + 7).addArray().add(job).add(piece);
+            for (String piece : pieces(set)) {
+                array("done", bytes(job, piece)).addArray().add(job).add(piece);
+                BitSet tasks = new BitSet();
+                DoneMarks.decode(piece, tasks);
+                current().part.mark(job, tasks);
             }
         }
 
         private ArrayNode array(String field, int bytes) {
-            if (size + bytes > limit) {
+            if (current().part.bytes + bytes > limit) {
                 open();
             }
-            size += bytes;
+            current().part.bytes += bytes;
             total += bytes;
-            return values.get(values.size() - 1).withArray(field);
+            return current().json.withArray(field);
         }
     }
 }
--- a/src/main/java/org/springmill/control/storage/StateStore.java
+++ b/src/main/java/org/springmill/control/storage/StateStore.java
@@ -9,6 +9,7 @@
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
 import org.springmill.protocol.BadMessageException;
+import org.springmill.protocol.Json;
 import org.springmill.protocol.Settings;
 import org.springmill.protocol.StateMessages;
 import org.springmill.protocol.StateMessages.Changes;
@@ -41,6 +42,7 @@
     private final RateLimit requests;
     private final RateLimit writes;
     private final ArrayDeque<Waiting> queue = new ArrayDeque<>();
+    private Settings.State limits;
     private boolean pumping;
     private boolean reachable;
     private boolean refuses;
@@ -53,8 +55,10 @@
     /** How a commit ended. */
     public enum Outcome {
         COMMITTED,
-        /** A condition did not hold, or the lease named has ended; nothing was changed. */
+        /** A condition did not hold, the lease named has ended, or the form is wrong; nothing was changed. */
         REFUSED,
+        /** Larger than the service takes; nothing was changed. From now on smaller limits are kept to. */
+        TOO_LARGE,
         /** Nothing was changed, but the same may be tried again. */
         NOT_NOW,
         /** No answer: it may have been applied, or may yet be. */
@@ -77,6 +81,7 @@
         this.loop = loop;
         this.settings = settings;
         this.timeoutS = timeoutS;
+        limits = settings.state();
         requests = new RateLimit(settings.state().requestsPerS() * FOLLOWER_SHARE, loop.now());
         writes = new RateLimit(settings.state().writesPerS() * FOLLOWER_SHARE, loop.now());
     }
@@ -154,9 +159,10 @@
     public void commit(List<Condition> conditions, List<Write> changes, Consumer<CommitResult> done) {
         byte[] body = StateMessages.commit(conditions, changes);
         double since = loop.now();
+        Settings.State under = limits;
         enqueue(new Waiting(new Request(settings.stateAddress(), "POST", StateMessages.COMMIT, body, timeoutS),
                 changes.size(), reply -> {
-                    CommitResult result = commitResult(reply);
+                    CommitResult result = commitResult(reply, changes, under);
                     if (result.outcome() != Outcome.UNKNOWN) {
                         onCommit.accept(since);
                     }
@@ -164,14 +170,15 @@
                 }));
     }
 
-    private CommitResult commitResult(Reply reply) {
+    private CommitResult commitResult(Reply reply, List<Write> changes, Settings.State under) {
         try {
             return switch (reply.status()) {
                 case 200 -> new CommitResult(Outcome.COMMITTED, StateMessages.revision(reply.body()), List.of());
                 case 409 -> new CommitResult(Outcome.REFUSED, 0, StateMessages.failed(reply.body()));
                 case 400 -> {
                     LOG.debug("commit refused: {}", new String(reply.body(), java.nio.charset.StandardCharsets.UTF_8));
-                    yield new CommitResult(Outcome.REFUSED, 0, List.of());
+                    boolean size = !StateMessages.leaseEnded(reply.body()) && mayBeTooLarge(changes, under);
+                    yield new CommitResult(size ? Outcome.TOO_LARGE : Outcome.REFUSED, 0, List.of());
                 }
                 case 429, 503, -1 -> new CommitResult(Outcome.NOT_NOW, 0, List.of());
                 default -> new CommitResult(Outcome.UNKNOWN, 0, List.of());
@@ -182,6 +189,27 @@
         }
     }
 
+    /**
+     * Whether a refused transaction may have been too large for the service, rather than wrong: if it would be smaller
+     * under half the limits that it was made under. Those limits are halved then, so that this ends.
+     */
+    private boolean mayBeTooLarge(List<Write> changes, Settings.State under) {
+        int largest = 0;
+        for (Write write : changes) {
+            largest = Math.max(largest, write.value() == null ? 0 : Json.bytes(write.value()).length);
+        }
+        Settings.State half = under.halved();
+        if (largest <= half.valueBytes() && changes.size() <= half.writesPerCommit()) {
+            return false;
+        }
+        if (limits == under) {
+            limits = half;
+            LOG.warn("the state service takes less than the settings say: keeping to {} writes of {} bytes",
+                    half.writesPerCommit(), half.valueBytes());
+        }
+        return true;
+    }
+
     /** Takes a lease; 0 if none was given. */
     public void grant(double ttlS, LongConsumer done) {
         now("POST", StateMessages.LEASES, StateMessages.grant(Math.round(ttlS * 1000)), timeoutS, reply -> {
@@ -269,8 +297,8 @@
         }
     }
 
-    /** The value limits that records have to keep to. */
+    /** The limits that records and transactions have to keep to now. */
     public Settings.State limits() {
-        return settings.state();
+        return limits;
     }
 }
--- a/src/main/java/org/springmill/protocol/Settings.java
+++ b/src/main/java/org/springmill/protocol/Settings.java
@@ -40,6 +40,17 @@
         public State {
             writesPerCommit = Math.max(1, Math.min(writesPerCommit, (int) (writesPerS * 0.6)));
         }
+
+        /** What keeps to both sets of limits. */
+        State within(State other) {
+            return new State(Math.min(requestsPerS, other.requestsPerS), Math.min(writesPerS, other.writesPerS),
+                    Math.min(valueBytes, other.valueBytes), Math.min(writesPerCommit, other.writesPerCommit));
+        }
+
+        /** What is tried once the service has refused a transaction for its size although it kept to these limits. */
+        public State halved() {
+            return new State(requestsPerS, writesPerS, valueBytes / 2, Math.max(1, writesPerCommit / 2));
+        }
     }
 
     public record Cloud(double requestsPerS, double listLagS) {
--- a/src/main/java/org/springmill/protocol/SettingsFile.java
+++ b/src/main/java/org/springmill/protocol/SettingsFile.java
@@ -63,10 +63,7 @@
                 new Settings.Workers(positive(workers, "report_s", "cluster.workers."),
                         positive(workers, "lease_s", "cluster.workers."),
                         positive(workers, "cancel_s", "cluster.workers.")),
-                new Settings.State(positive(state, "rps", "cluster.state."),
-                        atLeast(state, "write_rps", "cluster.state.", 5, "for rounds beside the leader's record"),
-                        (int) (atLeast(state, "value_kb", "cluster.state.", 2, "for the largest submission") * 1024),
-                        (int) atLeast(state, "txn_ops", "cluster.state.", 4, "for a round that replaces older ones")),
+                stateLimits(state),
                 new Settings.Cloud(positive(cloud, "rps", "cluster.cloud."),
                         number(cloud, "list_lag_s", "cluster.cloud.")),
                 new Settings.Limits(positive(limits, "cpu_share", "cluster.machine_limits."),
@@ -75,6 +72,34 @@
                                 "for the state service, the cloud, the other controllers, users and workers")), operator);
     }
 
+    /**
+     * The limits in force and, if there is a second set, those that will be from an unannounced moment on. What is
+     * written keeps to both from the start, so that the moment need not be known.
+     */
+    private Settings.State stateLimits(JsonNode state) throws SettingsException {
+        Settings.State now = stateLimits(state, state, "cluster.state.");
+        JsonNode next = state.path("next");
+        if (next.isMissingNode()) {
+            return now;
+        }
+        if (!next.isObject()) {
+            throw bad("cluster.state.next", "must be a table of limits");
+        }
+        return now.within(stateLimits(next, state, "cluster.state.next."));
+    }
+
+    /** @param otherwise where a limit stands that is not given */
+    private Settings.State stateLimits(JsonNode limits, JsonNode otherwise, String at) throws SettingsException {
+        return new Settings.State(positive(either(limits, otherwise, "rps"), "rps", at),
+                atLeast(either(limits, otherwise, "write_rps"), "write_rps", at, 5, "for rounds beside the leader's record"),
+                (int) (atLeast(either(limits, otherwise, "value_kb"), "value_kb", at, 2, "for the largest submission") * 1024),
+                (int) atLeast(either(limits, otherwise, "txn_ops"), "txn_ops", at, 4, "for a round that replaces older ones"));
+    }
+
+    private static JsonNode either(JsonNode first, JsonNode second, String field) {
+        return first.has(field) ? first : second;
+    }
+
     private List<Settings.Team> teams(JsonNode cluster) throws SettingsException {
         List<Settings.Team> teams = new ArrayList<>();
         int i = 0;
--- a/src/main/java/org/springmill/protocol/StateMessages.java
+++ b/src/main/java/org/springmill/protocol/StateMessages.java
@@ -105,6 +105,11 @@
         return Json.object(body).path("ledgerRev").longValue();
     }
 
+    /** Whether a transaction was refused for a lease that has ended, rather than for its form or size. */
+    public static boolean leaseEnded(byte[] body) throws BadMessageException {
+        return Json.object(body).path("error").asText().equals("no such lease");
+    }
+
     /** The keys whose conditions did not hold. */
     public static List<String> failed(byte[] body) throws BadMessageException {
         List<String> keys = new ArrayList<>();
--- a/src/test/java/org/springmill/control/storage/DoneMarksTest.java
+++ b/src/test/java/org/springmill/control/storage/DoneMarksTest.java
@@ -17,10 +17,16 @@
         for (int i = first; i < end; i += step) {
             set.set(i);
         }
-        List<String> pieces = DoneMarks.encode(set);
+        for (int most : new int[] {4096, 921, 200}) {
+            survives(set, most);
+        }
+    }
+
+    private static void survives(BitSet set, int most) {
+        List<String> pieces = DoneMarks.encode(set, most);
         BitSet read = new BitSet();
         for (String piece : pieces) {
-            assertTrue(piece.length() < 4096);
+            assertTrue(piece.length() <= Math.min(most, 2731) + 16);
             DoneMarks.decode(piece, read);
         }
         assertEquals(set, read);
