--- a/src/main/java/org/springmill/control/coordination/UserApi.java
+++ b/src/main/java/org/springmill/control/coordination/UserApi.java
@@ -109,13 +109,17 @@
             take(call, job, since);
             return;
         }
-        lookAgain(call, job, since);
+        lookAgain(call, job, since, null);
     }
 
-    /** What it names, or the job itself in a repeated submission, may just have been accepted by another controller. */
-    private void lookAgain(Call call, JobRecord job, double since) {
+    /**
+     * What it names, or the job itself in a repeated submission, may just have been accepted by another controller.
+     *
+     * @param ground on which it is refused otherwise; null for what is found then
+     */
+    private void lookAgain(Call call, JobRecord job, double since, String ground) {
         directory.barrier(ok -> {
-            String refusal = refusal(job);
+            String refusal = ground == null ? refusal(job) : ground;
             if (directory.get(job.id()) != null) {
                 answerKnown(call, job.id());
             } else if (!ok) {
@@ -162,11 +166,15 @@
                 }
                 case REFUSED -> {
                     pending--;
-                    answerKnown(call, submission.id());
+                    if (result.failed().isEmpty()) {
+                        lookAgain(call, job, since, "the state service takes no such record");
+                    } else {
+                        answerKnown(call, submission.id());
+                    }
                 }
                 case TOO_LARGE -> {
                     pending--;
-                    lookAgain(call, job, since);
+                    lookAgain(call, job, since, null);
                 }
                 // Not executed, or unknown: the same write again. It is applied once at most.
                 case NOT_NOW, UNKNOWN -> {
--- a/src/main/java/org/springmill/control/storage/RoundLog.java
+++ b/src/main/java/org/springmill/control/storage/RoundLog.java
@@ -299,6 +299,7 @@
                 }
                 for (Append sent = this; sent != null; sent = sent.larger) {
                     if (items(read.entry().value()).equals(items(sent.packer.values.get(0).json))) {
+                        sent.uncertain |= uncertain;
                         sent.applied();
                         return;
                     }
--- a/src/test/java/org/springmill/cli/SettingsTest.java
+++ b/src/test/java/org/springmill/cli/SettingsTest.java
@@ -13,6 +13,8 @@
 import org.junit.jupiter.api.io.TempDir;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.CsvSource;
+import org.springmill.protocol.Settings;
+import org.springmill.protocol.SettingsFile;
 import picocli.CommandLine;
 
 class SettingsTest {
@@ -130,6 +132,31 @@
         assertFalse(said.contains("Exception"), said);
     }
 
+    /** Whatever is written keeps to both sets, so both are checked, and the smaller of each pair counts. */
+    @ParameterizedTest
+    @CsvSource(delimiter = '|', value = {
+        "{}                                                 | 150, 60, 8192, 16 | fine",
+        "{ value_kb = 2.0, txn_ops = 4, write_rps = 42.0 }  | 150, 42, 2048, 4  | fine",
+        "{ value_kb = 16.0, rps = 100.0, unheard_of = 1 }   | 100, 60, 8192, 16 | fine",
+        "{ value_kb = 1.0 }                                 | | cluster.state.next.value_kb must be at least 2",
+        "{ txn_ops = 2 }                                    | | cluster.state.next.txn_ops must be at least 4",
+        "{ write_rps = -3 }                                 | | cluster.state.next.write_rps",
+        "{ rps = 0 }                                        | | cluster.state.next.rps must be above 0",
+        "5                                                  | | cluster.state.next must be a table",
+    })
+    void limitsToComeAreCheckedAndKeptTo(String next, String kept, String says) throws Exception {
+        Path file = Files.writeString(folder.resolve("service.toml"),
+                GOOD.replace("txn_ops = 16", "txn_ops = 16\nnext = " + next));
+        Ran ran = run("check", "--config", file.toString());
+        assertEquals(kept == null ? 2 : 0, ran.code(), ran.err());
+        assertTrue((ran.out() + ran.err()).contains(says), ran.out() + ran.err());
+        if (kept != null) {
+            String[] limits = kept.split(", ");
+            assertEquals(new Settings.State(Double.parseDouble(limits[0]), Double.parseDouble(limits[1]),
+                    Integer.parseInt(limits[2]), Integer.parseInt(limits[3])), SettingsFile.read(file, null).state());
+        }
+    }
+
     @ParameterizedTest
     @CsvSource({"--help, 0, check", "--version, 0, springmill", "run --config nowhere.toml, 2, cannot be read",
         "run, 2, --config", "dance, 2, dance"})
--- /dev/null
+++ b/src/test/java/org/springmill/control/coordination/LimitsTest.java
@@ -0,0 +1,131 @@
+package org.springmill.control.coordination;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import java.nio.charset.StandardCharsets;
+import java.util.List;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
+import org.springmill.protocol.Settings;
+import org.springmill.sim.SimNetwork.Fate;
+import org.springmill.sim.World;
+
+/** A state service that takes less than it did, with and without having said so. */
+class LimitsTest {
+    private static final Settings.State SMALLER = new Settings.State(120, 15, 2048, 4);
+    private final World world = new World();
+
+    @AfterEach
+    void noRuleIsBroken() {
+        assertEquals(List.of(), world.broken());
+    }
+
+    private static String id(int number) {
+        return String.format("run-%06d", number);
+    }
+
+    private static ObjectNode job(int number, String shape, int tasks) {
+        return World.job(id(number), "blue", shape, tasks, 0.5, 0.2);
+    }
+
+    private void machinesAndServices() {
+        world.machines("large", "a", 4).machines("large", "b", 4).run(6);
+        for (int i = 1; i <= 12; i++) {
+            assertEquals(201, world.submit(i % 3, job(i, "service", 12), 1e9));
+        }
+        world.run(10);
+        assertEquals(12, world.running(id(12)));
+    }
+
+    private long largest() {
+        return world.state().keysUnder("round/").stream().mapToLong(key -> world.state().value(key).toString().length())
+                .max().orElse(0);
+    }
+
+    /** Rounds of larger values are read by a leader that keeps to smaller ones, and carried on by many transactions. */
+    @Test
+    void storedLargerRoundsAreSplitWhenCarriedOn() {
+        machinesAndServices();
+        assertTrue(largest() > 2048, "largest " + largest());
+        world.settings(SMALLER);
+        for (int node = 0; node < 3; node++) {
+            world.restart(node);
+            world.run(12);
+        }
+        world.state().limit(2048, 4);
+        for (int i = 20; i < 60; i++) {
+            assertEquals(201, world.submit(i % 3, job(i, "sweep", 20), 1));
+            world.run(2);
+        }
+        world.run(20);
+        assertEquals(0, world.state().tooLarge());
+        assertTrue(largest() <= 2048, "largest " + largest());
+        for (int i = 20; i < 60; i++) {
+            assertEquals("done", world.phase(i % 3, id(i)));
+        }
+        // Nothing was lost on the way: another leader finds every replica where it is.
+        int leader = world.leader();
+        world.restart(leader);
+        world.run(20);
+        for (int i = 1; i <= 12; i++) {
+            assertEquals(12, world.running(id(i)));
+            for (int task = 0; task < 12; task++) {
+                assertEquals(1, world.starts(id(i) + "/" + task));
+            }
+        }
+    }
+
+    /** What becomes of the first round that is too large, and of its answer, before the limits change or after. */
+    @ParameterizedTest
+    @CsvSource({"DELIVER, 0", "LOSE_ANSWER, 0", "DROP, 0", "HOLD, 0", "DELIVER, 1", "LOSE_ANSWER, 1", "HOLD, 1"})
+    void aRefusalForSizeEndsNoTermAndIsNotRepeated(Fate fate, int later) {
+        world.machines("large", "a", 4).machines("large", "b", 4).run(6);
+        int leader = world.leader();
+        String term = world.state().value("leader").toString();
+        int[] seen = new int[1];
+        world.network().judge((from, request) -> {
+            boolean round = request.path().equals("/commit")
+                    && new String(request.body(), StandardCharsets.UTF_8).contains("\"claims\":[[\"" + id(1));
+            if (round && seen[0]++ == later) {
+                world.clock().after(0.001, () -> world.state().limit(2048, 3));
+                return fate;
+            }
+            if (round && later == 1 && seen[0] == 1) {
+                world.state().limit(2048, 3);
+            }
+            return Fate.DELIVER;
+        });
+        assertEquals(201, world.submit(leader, job(1, "service", 90), 1e9));
+        world.run(10);
+        world.network().releaseHeld();
+        world.run(20);
+        assertEquals(term, world.state().value("leader").toString());
+        assertTrue(world.state().tooLarge() < 8, "refused " + world.state().tooLarge());
+        world.restart(leader);
+        world.run(20);
+        assertEquals(90, world.running(id(1)));
+        for (int task = 0; task < 90; task++) {
+            assertEquals(1, world.starts(id(1) + "/" + task));
+        }
+    }
+
+    /** A job whose record the service finds too large: told so once, not put off for ever. */
+    @Test
+    void aRecordThatIsFoundTooLargeIsRefused() {
+        world.machines("large", "a", 2).run(6);
+        world.state().limit(1024, 4);
+        ObjectNode job = job(1, "sweep", 1);
+        for (int i = 0; i < 150; i++) {
+            job.withArray("frames").add("type-" + i);
+        }
+        job.withArray("frames").add("large");
+        assertEquals(422, world.submit(0, job, 1));
+        assertEquals(201, world.submit(0, job(2, "sweep", 1), 1));
+        world.run(15);
+        assertEquals("done", world.phase(1, id(2)));
+    }
+}
--- a/src/test/java/org/springmill/sim/SimState.java
+++ b/src/test/java/org/springmill/sim/SimState.java
@@ -44,8 +44,8 @@
     }
 
     private final VirtualClock clock;
-    private final int valueBytes;
-    private final int writesPerCommit;
+    private int valueBytes;
+    private int writesPerCommit;
     private final TreeMap<String, Value> keys = new TreeMap<>();
     private final Map<Long, Double> leases = new HashMap<>();
     private final Map<Long, Double> ttls = new HashMap<>();
@@ -56,6 +56,7 @@
     private final Set<String> refused = new HashSet<>();
     private SplittableRandom random;
     private double lateShare;
+    private int tooLarge;
     private boolean down;
 
     SimState(VirtualClock clock, int valueBytes, int writesPerCommit) {
@@ -64,6 +65,17 @@
         this.writesPerCommit = writesPerCommit;
     }
 
+    /** Other limits from now on, without notice. What is stored stays. */
+    public void limit(int bytes, int writes) {
+        valueBytes = bytes;
+        writesPerCommit = writes;
+    }
+
+    /** Transactions refused for their size so far. */
+    public int tooLarge() {
+        return tooLarge;
+    }
+
     /** An outage; once it is over every lease has its full time again. */
     public void setDown(boolean nowDown) {
         expire();
@@ -220,6 +232,7 @@
         }
         JsonNode writes = txn.path("writes");
         if (writes.size() > writesPerCommit || txn.toString().length() > 64 * 1024) {
+            tooLarge++;
             return reply(400, out.put("error", "transaction too large"));
         }
         for (JsonNode write : writes) {
@@ -227,6 +240,7 @@
                 return reply(400, out.put("error", "no such lease"));
             }
             if (write.has("value") && write.path("value").toString().length() > valueBytes) {
+                tooLarge++;
                 return reply(400, out.put("error", "value too large"));
             }
         }
--- a/src/test/java/org/springmill/sim/World.java
+++ b/src/test/java/org/springmill/sim/World.java
@@ -29,6 +29,7 @@
     static final double CANCEL_S = 44;
     static final double FETCH_S = 1;
     private static final double POLL_S = 5;
+    private static final Settings.State LIMITS = new Settings.State(120, 20, 8192, 12);
     private static final ObjectMapper JSON = new ObjectMapper();
 
     private final VirtualClock clock = new VirtualClock();
@@ -46,6 +47,7 @@
     private final SplittableRandom random;
     private boolean holdRecords;
     private double fetchS = FETCH_S;
+    private Settings.State limits = LIMITS;
     private int incarnations;
     private boolean filtered;
 
@@ -58,7 +60,7 @@
 
         Node(int index) {
             this.index = index;
-            controller = new Controller(settings(index), this, this, this, new SplittableRandom(++incarnations));
+            controller = new Controller(settings(index, limits), this, this, this, new SplittableRandom(++incarnations));
             controller.start();
         }
 
@@ -137,7 +139,16 @@
         rules.watch();
     }
 
+    /** Settings of a controller that is started from now on; those that run keep theirs. */
+    public void settings(Settings.State stateLimits) {
+        limits = stateLimits;
+    }
+
     static Settings settings(int index) {
+        return settings(index, LIMITS);
+    }
+
+    private static Settings settings(int index, Settings.State limits) {
         Map<String, String> peers = new HashMap<>();
         for (int i = 0; i < NODES; i++) {
             if (i != index) {
@@ -147,7 +158,7 @@
         return new Settings("n-" + index, "a", "10.0.0." + index + ":8080", "10.0.0." + index + ":8081", peers,
                 "cloud:1", "state:1", List.of("a", "b"), 1, List.of(new Settings.Team("red", 0, 0, 8, 16),
                 new Settings.Team("blue", 0, 0, 8, 64)), List.of(), new Settings.Workers(REPORT_S, LEASE_S, CANCEL_S),
-                new Settings.State(120, 20, 8192, 12), new Settings.Cloud(4, 3), new Settings.Limits(0.2, 176, 700),
+                limits, new Settings.Cloud(4, 3), new Settings.Limits(0.2, 176, 700),
                 OperatorSettings.DEFAULTS);
     }
 
