--- a/src/main/java/org/springmill/control/coordination/Controller.java
+++ b/src/main/java/org/springmill/control/coordination/Controller.java
@@ -136,7 +136,10 @@
             return false;
         }
         boolean cutOff = !store.reachable() && loop.now() - store.lastServed() > timing.leaderTtlS() / 2;
-        return !(cutOff && peers.someReachState());
+        // One that has heard of nobody for a whole lease is itself what is cut off. Users whose connections stayed open
+        // there went without an answer for as long as it was, while all others were served.
+        boolean alone = loop.now() - Math.max(store.lastServed(), peers.lastHeard()) > timing.leaseS();
+        return !(cutOff && (peers.someReachState() || alone));
     }
 
     private Status status() {
--- a/src/test/java/org/springmill/control/coordination/MeetingTest.java
+++ b/src/test/java/org/springmill/control/coordination/MeetingTest.java
@@ -258,7 +258,10 @@
         begin(2);
         acceptService(JOB, "red", 4, 1);
         acceptService(OTHER, "blue", 4, 1);
-        world.run(6);
+        for (int i = 0; i < 9; i++) {
+            acceptService("run-00010" + i, "blue", 1, 1);
+        }
+        world.run(12);
         int cut = world.leader();
         world.isolate(cut);
         world.run(1);
@@ -337,6 +340,110 @@
         assertEquals("done", world.phase(0, JOB));
     }
 
+    private static final String[] FIELDS = {"nameId", "grist", "crew", "shape", "urgency", "sacks", "vcpus", "cards",
+        "memGb", "mould", "pullGb", "samePlace", "apart", "loaner", "expectS", "stashEveryS", "stashS"};
+
+    /** Bad input is answered at once and finally, at any controller and time; what can't run is never accepted. */
+    @Test
+    void whatLacksAFieldOrCanNeverRunIsNeverAccepted() {
+        begin(1);
+        for (int i = 0; i < FIELDS.length; i++) {
+            for (String as : new String[] {"absent", "null", "list"}) {
+                ObjectNode job = World.job(JOB, "red", "service", 2, 1, 1);
+                switch (as) {
+                    case "absent" -> job.remove(FIELDS[i]);
+                    case "null" -> job.putNull(FIELDS[i]);
+                    default -> job.putArray(FIELDS[i]).add(1);
+                }
+                assertEquals(400, world.submit(i % 3, job, 1), FIELDS[i] + " " + as);
+            }
+        }
+        ObjectNode wide = World.job(JOB, "red", "sweep", 1, 1, 1);
+        for (int i = 0; i < 900; i++) {
+            wide.withArray("frames").add("large").add("another type of machine " + i);
+        }
+        assertEquals(422, world.submit(0, wide, 1), "more than a record holds");
+        for (int node = 0; node < 3; node++) {
+            for (ObjectNode job : impossible()) {
+                assertEquals(422, world.submit(node, job, 1), job.toString());
+            }
+            assertEquals(404, world.ask(node, "GET", "/submissions/" + JOB, "").status());
+            assertEquals(404, world.ask(node, "POST", "/submissions/" + JOB + "/withdraw", "").status());
+            for (String body : new String[] {"", "[]", "{", "{} {}", "{\"a\":".repeat(5000), "\"run-000001\""}) {
+                assertEquals(400, world.ask(node, "POST", "/submissions", body).status());
+            }
+        }
+    }
+
+    private static List<ObjectNode> impossible() {
+        ObjectNode noZone = World.job(JOB, "red", "sweep", 1, 1, 1).put("yard", "c");
+        ObjectNode noType = World.job(JOB, "red", "sweep", 1, 1, 1);
+        noType.putArray("frames");
+        ObjectNode otherType = World.job(JOB, "red", "sweep", 1, 8, 0);
+        otherType.putArray("frames").add("small").add("huge");
+        return List.of(noZone, noType, otherType, World.job(JOB, "green", "sweep", 1, 1, 1),
+                World.job(JOB, "red", "sweep", 1, 33, 0), World.job(JOB, "red", "sweep", 1, 1, 9),
+                World.job(JOB, "red", "sweep", 1, 1, 1).put("memGb", 257), World.job(JOB, "red", "service", 17, 1, 1),
+                World.job(JOB, "blue", "service", 65, 1, 1));
+    }
+
+    /** Right after a start, when the machine types are not known yet, nothing is accepted or refused too early. */
+    @Test
+    void nothingIsAcceptedBeforeTheMachineTypesAreKnown() {
+        begin(1);
+        accept(World.job(OTHER, "red", "sweep", 1, 1, 1), 300);
+        world.run(2);
+        world.network().judge((from, request) -> request.address().equals("cloud:1") ? Fate.REFUSE : Fate.DELIVER);
+        for (int i = 0; i < 3; i++) {
+            world.restart(i);
+        }
+        world.run(4);
+        for (int node = 0; node < 3; node++) {
+            assertEquals(503, world.ask(node, "GET", "/ready", "").status());
+            assertEquals(503, world.submit(node, World.job(JOB, "red", "sweep", 1, 1, 1), 1));
+            assertEquals(200, world.submit(node, World.job(OTHER, "red", "sweep", 1, 1, 1), 300), "known already");
+            ObjectNode job = World.job(JOB, "red", "sweep", 1, 1, 1);
+            job.remove("loaner");
+            assertEquals(400, world.submit(node, job, 1));
+            for (ObjectNode never : impossible()) {
+                int status = world.submit(node, never, 1);
+                assertTrue(status == 503 || status == 422, status + " for " + never);
+            }
+        }
+        world.calm().run(6);
+        for (ObjectNode never : impossible()) {
+            assertEquals(422, world.submit(0, never, 1));
+        }
+        assertEquals(201, world.submit(1, World.job(JOB, "red", "sweep", 1, 1, 1), 1));
+    }
+
+    /** Users repeat submissions, cancel what is done and ask for what they never sent, while leaders change. */
+    @Test
+    void oddRequestsMeetAChangeOfLeader() {
+        begin(1);
+        ObjectNode done = World.job(JOB, "red", "sweep", 1, 1, 1);
+        accept(done, 2);
+        ObjectNode runs = World.job(OTHER, "red", "service", 2, 1, 1);
+        accept(runs, FOREVER);
+        world.run(8);
+        for (int i = 0; i < 6; i++) {
+            world.restart(Math.max(0, world.leader()));
+            for (int node = 0; node < 3; node++) {
+                world.submit(node, done, 2);
+                world.submit(node, runs, FOREVER);
+                world.withdraw(node, JOB);
+                world.phase(node, "run-999999");
+                world.withdraw(node, "run-999999");
+            }
+            world.run(2);
+        }
+        world.run(10);
+        for (int node = 0; node < 3; node++) {
+            assertEquals("done", world.withdraw(node, JOB));
+            assertEquals(200, world.submit(node, runs, FOREVER));
+        }
+    }
+
     /** Controllers hand over and back, all end, and one returns, within a second or so. */
     @ParameterizedTest
     @CsvSource({"0.05, false", "0.3, false", "0.9, false", "2.5, false", "0.05, true", "0.3, true", "0.9, true"})
