Answers to questions of a controller's earlier life are no words to the process that returned

Questions were numbered from 1 in every process, so that an answer held back by the network could pass for one to the new process's question of the same number: it bore a leader out with what was true before its end (PeersTest). Numbers now go on from the time of day.

--- a/src/main/java/org/springmill/control/coordination/Peers.java
+++ b/src/main/java/org/springmill/control/coordination/Peers.java
@@ -63,6 +63,8 @@
         this.lastWitness = loop.now();
         this.lastLeaderHeard = loop.now();
         this.lastHeard = loop.now();
+        // Nor may answers to its questions, still on the way, be taken for answers to this one's.
+        this.question = (long) (loop.timeOfDay() * 1e6);
     }
 
     /** Takes records only from here on: one that came while the controller was still being put together broke it. */
--- a/src/test/java/org/springmill/control/coordination/PeersTest.java
+++ b/src/test/java/org/springmill/control/coordination/PeersTest.java
@@ -1,11 +1,13 @@
 package org.springmill.control.coordination;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Map;
+import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.CsvSource;
 import org.springmill.control.storage.StateStore;
@@ -78,4 +80,20 @@
         clock.run(LEASE_S / 5);
         assertEquals(Double.POSITIVE_INFINITY, leader.othersMayRenewUntil(), "an old word is none");
     }
+
+    /** A process that returned would otherwise be borne out by words from before its end. */
+    @Test
+    void answersToQuestionsOfAnEarlierLifeAreNoWords() throws Exception {
+        peers(true, 7);
+        clock.run(3);
+        long earlier = sent.get(sent.size() - 1).question();
+        clock.run(0.2);
+        Peers returned = peers(true, 7);
+        clock.run(3);
+        hear(new Status("n-1", 0, earlier, false, false, true, 0, false, 60_000, 7, News.NONE));
+        assertFalse(returned.mostConfirmOutage(7));
+        assertFalse(returned.allHeard());
+        hear(new Status("n-1", 0, sent.get(sent.size() - 1).question(), false, false, true, 0, false, 60_000, 7, News.NONE));
+        assertTrue(returned.mostConfirmOutage(7));
+    }
 }
