--- a/src/main/java/org/springmill/control/coordination/Job.java
+++ b/src/main/java/org/springmill/control/coordination/Job.java
@@ -9,6 +9,7 @@
 import org.agrona.collections.Int2ObjectHashMap;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
+import org.springmill.protocol.Priority;
 import org.springmill.protocol.Submission;
 import org.springmill.protocol.UserMessages.Phase;
 
@@ -17,7 +18,10 @@
     private static final Logger LOG = LoggerFactory.getLogger(Job.class);
 
     private final Submission spec;
+    private final long accepted;
     private long arrival;
+    private Priority priority;
+    private double latestStart = Double.POSITIVE_INFINITY;
     private final BitSet done = new BitSet();
     private final Int2ObjectHashMap<Attempt> live = new Int2ObjectHashMap<>();
     private final ArrayDeque<Integer> returned = new ArrayDeque<>();
@@ -47,7 +51,9 @@
     Job(Submission spec, long version) {
         this.spec = spec;
         this.state = spec.dependencies().isEmpty() ? State.ELIGIBLE : State.WAITING;
+        this.accepted = version;
         this.arrival = version;
+        this.priority = spec.priority();
         this.version = version;
     }
 
@@ -64,6 +70,27 @@
         return arrival;
     }
 
+    /** Revision at which the job was accepted: later than those of all that it needs. */
+    long accepted() {
+        return accepted;
+    }
+
+    /** The highest of its own priority and those of all that need it. */
+    Priority priority() {
+        return priority;
+    }
+
+    /** Time of day by which it has to start for its chain to keep the deadline; infinite if there is none. */
+    double latestStart() {
+        return latestStart;
+    }
+
+    /** Only through {@link Ledger#rank}, which counts what runs by priority. */
+    void rank(Priority derived, double startBy) {
+        priority = derived;
+        latestStart = startBy;
+    }
+
     long version() {
         return version;
     }
--- a/src/main/java/org/springmill/control/coordination/Leader.java
+++ b/src/main/java/org/springmill/control/coordination/Leader.java
@@ -46,6 +46,7 @@
     private final Rentals rentals;
     private final Demand demand;
     private final CancellationWriter cancellations;
+    private final ChainOrder order;
     private JsonNode lastNotes;
     private double tickedAt;
     private boolean rebuilt;
@@ -81,6 +82,7 @@
                     }
                 });
         demand = new Demand(settings, timing.leaseS() * 3, loop.now());
+        order = new ChainOrder(directory, ledger);
         cancellations = new CancellationWriter(store, directory, leadership, loop);
         rentals = new Rentals(fleet, placement, demand, peers, http, loop, settings, timing, this::wake);
     }
@@ -225,6 +227,7 @@
             return;
         }
         settling.tick();
+        order.settle();
         for (Machine machine : fleet.machinesNow()) {
             if (machine.state() == Machine.State.UP && loop.now() - machine.lastHeard() > timing.probeS()) {
                 machine.askAgain = true;
@@ -297,6 +300,7 @@
         }
         if (!record.active() && job.active()) {
             job.end(record.phase(), record.version(), endedSince(record));
+            order.changed(job);
             for (Attempt attempt : job.attempts()) {
                 fleet.stop(attempt, 0);
                 orders.poke(attempt.machine());
@@ -309,6 +313,7 @@
     /** @param counted whether the job came just now, rather than being read back from storage */
     private void admit(Job job, boolean counted) {
         ledger.add(job);
+        order.changed(job);
         if (job.waitsForOthers() && directory.chains().ready(job.spec())) {
             job.becomeEligible(directory.chains().readySince(job.spec()));
         }
--- a/src/main/java/org/springmill/control/coordination/Ledger.java
+++ b/src/main/java/org/springmill/control/coordination/Ledger.java
@@ -109,6 +109,13 @@
         jobs.put(job.id(), job);
     }
 
+    /** Gives a job the place that follows from those that need it. */
+    void rank(Job job, Priority priority, double latestStart) {
+        attempts.merge(job.priority(), -job.liveCount(), Integer::sum);
+        job.rank(priority, latestStart);
+        attempts.merge(job.priority(), job.liveCount(), Integer::sum);
+    }
+
     void dropJob(Job job) {
         jobs.remove(job.id());
     }
@@ -146,7 +153,7 @@
         Usage usage = usage(attempt.job().spec().team());
         usage.cpus += sign * attempt.job().spec().cpus();
         usage.gpus += sign * attempt.job().spec().gpus();
-        attempts.merge(attempt.job().spec().priority(), sign, Integer::sum);
+        attempts.merge(attempt.job().priority(), sign, Integer::sum);
     }
 
     /** Whether anything of a lower priority holds a place. */
--- a/src/main/java/org/springmill/control/coordination/Placement.java
+++ b/src/main/java/org/springmill/control/coordination/Placement.java
@@ -13,6 +13,7 @@
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
 import org.springmill.control.storage.Claim;
+import org.springmill.protocol.Priority;
 import org.springmill.protocol.Submission;
 import org.springmill.protocol.TaskId;
 
@@ -102,9 +103,11 @@
         }
         Map<Job, Boolean> guaranteed = new HashMap<>();
         waiting.forEach(job -> guaranteed.put(job, usage(job).guaranteedFor(job.spec())));
-        waiting.sort(Comparator.comparing((Job job) -> job.spec().priority())
+        waiting.sort(Comparator.comparing(Job::priority)
                 .thenComparing(job -> !guaranteed.get(job))
                 .thenComparing(job -> !job.spec().service())
+                // Less slack first: all look at the same clock, so the time by which a job has to start tells.
+                .thenComparingDouble(Job::latestStart)
                 .thenComparingLong(Job::arrival));
         return waiting;
     }
@@ -361,7 +364,7 @@
 
     /** Whether anything at all may be stopped for a job: most find at a glance that nothing may. */
     private boolean mayStopAny(Job job) {
-        return fleet.ledger().runsBelow(job.spec().priority())
+        return fleet.ledger().runsBelow(job.priority())
                 || usage(job).guaranteedFor(job.spec()) && fleet.ledger().otherAboveGuarantee(job.spec().team());
     }
 
@@ -401,7 +404,7 @@
                 candidates.add(attempt);
             }
         }
-        candidates.sort(Comparator.comparing((Attempt a) -> a.job().spec().priority()).reversed()
+        candidates.sort(Comparator.comparing((Attempt a) -> a.job().priority()).reversed()
                 .thenComparingDouble(a -> lostWork(a, now)));
         double cost = 0;
         for (Attempt victim : candidates) {
@@ -439,10 +442,11 @@
      */
     private boolean mayStop(Attempt victim, Job job, boolean guaranteed, List<Attempt> before) {
         Submission loser = victim.job().spec();
-        if (job.spec().priority().above(loser.priority())) {
+        Priority right = job.priority();
+        if (right.above(victim.job().priority())) {
             return true;
         }
-        if (!guaranteed || loser.team().equals(job.spec().team()) || loser.priority().above(job.spec().priority())) {
+        if (!guaranteed || loser.team().equals(job.spec().team()) || victim.job().priority().above(right)) {
             return false;
         }
         double cpus = loser.cpus();
--- /dev/null
+++ b/src/test/java/org/springmill/control/coordination/ChainOrderTest.java
@@ -0,0 +1,91 @@
+package org.springmill.control.coordination;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import java.util.List;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
+import org.springmill.sim.World;
+
+/** What comes first where there is not room for all, seen from outside. Room is for eight tasks at a time. */
+class ChainOrderTest {
+    private static final String FIRST = "run-000001";
+    private static final String RIVAL = "run-000002";
+    private static final String LAST = "run-000003";
+    private static final String OTHER_LAST = "run-000004";
+
+    private final World world = new World();
+
+    @AfterEach
+    void noRuleIsBroken() {
+        assertEquals(List.of(), world.broken());
+    }
+
+    private static ObjectNode job(String id, String urgency, String... needed) {
+        ObjectNode job = World.job(id, "blue", "sweep", 8, 1, 1).put("urgency", urgency);
+        for (String n : needed) {
+            job.withArray("waitsOn").add(n);
+        }
+        return job;
+    }
+
+    private void room() {
+        world.machines("large", "a", 1).run(6);
+        world.cloud().runOut();
+        // Runs first, so that all that follows waits and is placed in order.
+        world.submit(0, World.job("run-000009", "blue", "sweep", 8, 1, 1).put("urgency", "prod"), 8);
+        world.run(1);
+    }
+
+    /** Of two jobs of one priority the earlier would come first; what needs it, or needed it, changes that. */
+    @ParameterizedTest
+    @CsvSource({
+        // Its own, that of the last of its chain, when that is cancelled, a new leader before and after.
+        "normal, best_effort, none,      first",
+        "normal, urgent,      none,      rival",
+        "normal, urgent,      cancelled, first",
+        "normal, urgent,      takeover,  rival",
+        "urgent, best_effort, none,      rival",
+        "best_effort, prod,   takeover,  rival",
+        "best_effort, prod,   cancelled, first",
+    })
+    void aJobHasThePriorityOfAllThatNeedIt(String own, String last, String then, String winner) {
+        room();
+        world.submit(0, job(FIRST, "normal"), 5);
+        world.submit(1, job(RIVAL, own), 5);
+        world.submit(2, job(LAST, "best_effort", RIVAL), 5);
+        world.submit(2, job(OTHER_LAST, last, LAST), 5);
+        if (then.equals("cancelled")) {
+            assertEquals("cancelled", world.withdraw(0, OTHER_LAST));
+        } else if (then.equals("takeover")) {
+            world.restart(world.leader());
+        }
+        world.run(12);
+        boolean rival = world.starts(RIVAL + "/0") > 0;
+        boolean first = world.starts(FIRST + "/0") > 0;
+        assertTrue(rival ^ first, "rival " + rival + ", first " + first);
+        assertEquals(winner, rival ? "rival" : "first");
+    }
+
+    /** The last jobs' deadlines, and the estimate of the step between; the job accepted first has the later or none. */
+    @ParameterizedTest
+    @CsvSource({"200, 100, 10, none, rival", "100, 200, 10, none, first", "100, 120, 40, none, rival",
+        "-1, 300, 10, none, rival", "200, 100, 10, takeover, rival"})
+    void insideAPriorityTheChainWithLeastSlackComesFirst(double firstDue, double rivalDue, double rivalEstimate,
+            String then, String winner) {
+        room();
+        world.submit(0, job(FIRST, "normal"), 5);
+        world.submit(1, job(RIVAL, "normal").put("expectS", rivalEstimate), 5);
+        ObjectNode last = job(LAST, "normal", FIRST);
+        world.submit(2, firstDue < 0 ? last : last.put("dueS", firstDue), 5);
+        world.submit(2, job(OTHER_LAST, "normal", RIVAL).put("dueS", rivalDue), 5);
+        if (then.equals("takeover")) {
+            world.restart(world.leader());
+        }
+        world.run(12);
+        assertEquals(winner, world.starts(RIVAL + "/0") > 0 ? "rival" : "first");
+    }
+}
