--- a/src/main/java/org/springmill/control/coordination/Placement.java
+++ b/src/main/java/org/springmill/control/coordination/Placement.java
@@ -221,7 +221,7 @@
 
     private boolean reservedFrom(Job job, Machine machine) {
         Job other = reserved.get(machine);
-        return other != null && other != job && !job.spec().priority().above(other.spec().priority());
+        return other != null && other != job && !job.priority().above(other.priority());
     }
 
     private boolean placeNext(Job job, Ranking ranking, long round, List<Attempt> placed) {
