--- a/src/test/java/org/springmill/control/coordination/ChainTest.java
+++ b/src/test/java/org/springmill/control/coordination/ChainTest.java
@@ -8,6 +8,7 @@
 import com.fasterxml.jackson.databind.node.ObjectNode;
 import java.nio.charset.StandardCharsets;
 import java.util.List;
+import java.util.SplittableRandom;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
@@ -243,6 +244,70 @@
         return world.state().keysUnder("job/").stream().filter(key -> world.state().value(key).has("end")).count();
     }
 
+    /** A leader that only its workers and users still reach, while a step of a chain is cancelled elsewhere. */
+    @ParameterizedTest
+    @ValueSource(booleans = {true, false})
+    void aStepIsCancelledWhileItsLeaderIsCutOff(boolean before) {
+        submit(0, before ? 1e9 : 20, job(1, 2));
+        submit(1, 1e9, job(2, 2, 1));
+        submit(2, 1, job(3, 2, 2));
+        world.run(8);
+        int cut = world.leader();
+        world.isolate(cut);
+        world.run(before ? 1 : 25);
+        int other = (cut + 1) % 3;
+        assertEquals("cancelled", world.withdraw(other, id(before ? 1 : 2)));
+        world.polled().run(60);
+        assertEquals("cancelled", world.phase(other, id(3)));
+        // Unless it was told, it cannot know, and says so rather than what it knew.
+        String said = world.phase(cut, id(3));
+        assertTrue(said.equals("503") || said.equals("cancelled"), said);
+        world.calm().run(30);
+        allSay("cancelled", 2, 3);
+    }
+
+    /** Pipelines come in a burst while controllers are restarted one after the other and the network holds things back. */
+    @ParameterizedTest
+    @ValueSource(longs = {1, 2, 3, 4})
+    void controllersRollUnderABurstOfPipelines(long seed) {
+        world = new World(seed).machines("large", "a", 2).machines("large", "b", 2).run(6);
+        SplittableRandom random = new SplittableRandom(seed);
+        world.network().judge((from, request) -> !from.startsWith("n-") || random.nextInt(100) > 5 ? Fate.DELIVER
+                : Fate.values()[random.nextInt(Fate.values().length)]);
+        world.polled();
+        for (int i = 0; i < 8; i++) {
+            int first = 10 * i + 1;
+            accept(job(first, 3), random);
+            accept(job(first + 1, 8, first), random);
+            accept(job(first + 2, 4, first), random);
+            accept(job(first + 3, 2, first + 1, first + 2), random);
+            if (random.nextInt(3) == 0) {
+                world.withdraw(random.nextInt(3), id(first + random.nextInt(4)));
+            }
+            world.restart(i % 3);
+            world.run(2 + random.nextInt(4));
+        }
+        world.network().releaseHeld();
+        world.run(10);
+        world.calm().run(150);
+        for (int i = 0; i < 8; i++) {
+            for (int step = 1; step <= 4; step++) {
+                String phase = world.phase(0, id(10 * i + step));
+                assertTrue(phase.equals("done") || phase.equals("cancelled"), id(10 * i + step) + " is " + phase);
+            }
+        }
+    }
+
+    /** As a user does: again and again until there is an answer. */
+    private void accept(ObjectNode job, SplittableRandom random) {
+        int status = 0;
+        for (int i = 0; i < 30 && status != 201 && status != 200; i++) {
+            status = world.submit(random.nextInt(3), job, 1 + random.nextInt(5));
+            world.run(status == 201 || status == 200 ? 0 : 1);
+        }
+        assertTrue(status == 201 || status == 200, job + ": " + status);
+    }
+
     /** Records as each version wrote them, with those of its rounds, and a leader of this version that takes over. */
     @Test
     void aLeaderTakesOverRecordsOfBothGenerations() {
