What a reading of the whole change found: machines back from a cut, kept room that is of no use, and lesser things

- Machines of a zone whose cut is over were given back before they could be heard, or show the new term's token, with all that ran on them (new test, which fails without the two guards).
- Room kept for a job that waited long is given up once the job may not be placed there; work within its guarantee passes one beyond it; renting counts it as no room for others.
- A lone controller counts the zones of its workers from the beginning of its loneliness, not only past the horizon.
- A cancellation whose write got no answer is told to the others, too, when its user is told of it.
- A round that is refused for no reason known goes in halves before a term ends for it; halved limits have a floor.
Tried and taken back: more patience for cancellations that are learned late; the test of cancellations in a cut zone asks for the deletion, and it is right.

--- a/src/main/java/org/springmill/control/coordination/Leader.java
+++ b/src/main/java/org/springmill/control/coordination/Leader.java
@@ -408,7 +408,7 @@
             return;
         }
         machine.tookReport(report);
-        machine.answered(loop.now());
+        machine.answered(loop.now(), timing.leaseS());
         List<Command> commands = rebuilt ? List.of() : directory.stopsFor(report);
         if (rebuilt && machine.ordersFailing() && !machine.ordersInFlight && report.session() == machine.session()) {
             commands = orders.due(machine);
--- a/src/main/java/org/springmill/control/coordination/Machine.java
+++ b/src/main/java/org/springmill/control/coordination/Machine.java
@@ -48,6 +48,7 @@
     private long seq;
     private long lastReportSeq;
     private double lastAnswered = Double.NEGATIVE_INFINITY;
+    private double answeredSince;
     private double ownTokenSeen = Double.POSITIVE_INFINITY;
     private double lastHeard = Double.NEGATIVE_INFINITY;
     private double firstSeen;
@@ -210,10 +211,19 @@
         return reported;
     }
 
-    void answered(double now) {
+    /** @param leaseS after a longer silence its worker begins anew with this leader */
+    void answered(double now, double leaseS) {
+        if (now - lastAnswered > 2 * leaseS) {
+            answeredSince = now;
+        }
         lastAnswered = now;
     }
 
+    /** Whether it was answered again and again for so long and has shown no token of this term: it does not hear. */
+    boolean isDeaf(double now, double forS) {
+        return !hearsThisTerm() && lastAnswered > Double.NEGATIVE_INFINITY && now - answeredSince > forS;
+    }
+
     double lastAnswered() {
         return lastAnswered;
     }
--- a/src/main/java/org/springmill/control/coordination/Placement.java
+++ b/src/main/java/org/springmill/control/coordination/Placement.java
@@ -159,7 +159,7 @@
         waits.removeIf(Placement::begun);
         waitsSince.keySet().retainAll(waits);
         waits.forEach(job -> waitsSince.putIfAbsent(job, now));
-        reserved.entrySet().removeIf(e -> !waits.contains(e.getValue()) || !e.getKey().takesWork(now, timing.quietS()));
+        reserved.entrySet().removeIf(e -> !waits.contains(e.getValue()) || !isOfUse(e.getKey(), e.getValue(), now));
     }
 
     /**
@@ -219,9 +219,20 @@
         return attempt.state() == Attempt.State.STOPPING ? 0 : Math.max(0, attempt.job().spec().estimateS() - ran);
     }
 
-    private boolean reservedFrom(Job job, Machine machine) {
+    /** A machine kept for a job that may not be placed there, or not at all by now, would only stand idle. */
+    private boolean isOfUse(Machine machine, Job job, double now) {
+        return machine.takesWork(now, timing.quietS()) && eligible(job, machine) && now >= job.notBefore()
+                && usage(job).allows(job.spec());
+    }
+
+    /** Whether a machine is kept for another job, but for work that comes before that one in any case. */
+    boolean reservedFrom(Job job, Machine machine) {
         Job other = reserved.get(machine);
-        return other != null && other != job && !job.priority().above(other.priority());
+        if (other == null || other == job || job.priority().above(other.priority())) {
+            return false;
+        }
+        return other.priority().above(job.priority()) || !usage(job).guaranteedFor(job.spec())
+                || usage(other).guaranteedFor(other.spec());
     }
 
     private boolean placeNext(Job job, Ranking ranking, long round, List<Attempt> placed) {
--- a/src/main/java/org/springmill/control/coordination/Rentals.java
+++ b/src/main/java/org/springmill/control/coordination/Rentals.java
@@ -53,6 +53,7 @@
     private final Map<String, Double> refusedUntil = new HashMap<>();
     private final List<Request> unresolved = new ArrayList<>();
     private final Set<String> darkZones = new HashSet<>();
+    private final Map<String, Double> darkAt = new HashMap<>();
     private final List<Machine> toDelete = new ArrayList<>();
     private final double startedAt;
     private double listeningSince;
@@ -272,12 +273,13 @@
     }
 
     private void tend(Machine machine, double now, boolean fewSilent) {
-        boolean dark = darkZones.contains(machine.zone());
         switch (machine.state()) {
             case EXPECTED -> {
-                if (asGoodAsDead(machine, now, fewSilent)) {
+                // Once a zone's cut is over its machines are heard one by one, and the last are not dead.
+                boolean lately = now - darkAt.getOrDefault(machine.zone(), Double.NEGATIVE_INFINITY) < timing.leaseS();
+                if (!lately && asGoodAsDead(machine, now, fewSilent)) {
                     giveBack(machine, "it neither reports nor answers");
-                } else if (longInOffice(now) && !dark && !machine.attempts().isEmpty()) {
+                } else if (longInOffice(now) && !lately && !machine.attempts().isEmpty()) {
                     // Its worker never reported to this leader, and with no word from every other controller its
                     // silence proves nothing: only its deletion does.
                     giveBack(machine, "its worker is not heard of");
@@ -293,9 +295,12 @@
             case UP -> {
                 if (asGoodAsDead(machine, now, fewSilent)) {
                     giveBack(machine, "it neither reports nor answers");
-                } else if (longInOffice(now) && !dark && !machine.attempts().isEmpty() && !machine.hearsThisTerm()) {
+                } else if (longInOffice(now) && !darkZones.contains(machine.zone()) && !machine.attempts().isEmpty()
+                        && machine.isDeaf(now, timing.leaseS())) {
                     // Its reports arrive, and no answer ever does: they renew nothing and prove nothing, and while they
                     // come it is not silent. What it ran was killed with its lease, and only its deletion proves that.
+                    // One that has only just found its way here is given time to hear: when a zone's cut is over, all of
+                    // its machines come with an older token at first.
                     giveBack(machine, "it does not hear this leader");
                 } else if (machine.quarantined() && machine.attempts().isEmpty()) {
                     giveBack(machine, "it fails what it starts");
@@ -337,6 +342,7 @@
             expected.forEach((zone, count) -> {
                 if (silent.get(zone) > Math.max(1, count / 2)) {
                     darkZones.add(zone);
+                    darkAt.put(zone, now);
                 }
             });
         }
@@ -410,7 +416,8 @@
                 zones.merge(attempt.machine().zone(), 1, Integer::sum);
             }
             Submission spec = job.spec().oneZone() ? bound(job, wanted, room, machinesIn, now) : job.spec();
-            pack(spec, wanted, zones, job::hasFailedOn, room, machinesIn, now);
+            pack(spec, wanted, zones, machine -> job.hasFailedOn(machine.name()) || placement.reservedFrom(job, machine),
+                    room, machinesIn, now);
         }
         double bootS = slowestBootS();
         double budget = INSURANCE * fleetCost();
@@ -552,10 +559,10 @@
      * Finds room for so many tasks, or plans a machine for them.
      *
      * @param zones how many tasks of the same job each zone holds; null if they are of different jobs
-     * @param faulty machines on which the job failed: it is not placed there, and it waited for ever where they were
-     *     the only ones with room
+     * @param barred machines that are no room for them: where a job failed it is not placed, and it waited for ever
+     *     where they were the only ones with room; nor is it where room is kept for another one
      */
-    private void pack(Submission spec, int tasks, Map<String, Integer> zones, Predicate<String> faulty, List<Bin> room,
+    private void pack(Submission spec, int tasks, Map<String, Integer> zones, Predicate<Machine> barred, List<Bin> room,
             Map<String, Integer> machinesIn, double now) {
         // What has no room for one task has none for the next: each bin is looked at once for all of them.
         int at = 0;
@@ -563,7 +570,7 @@
             Map<String, Integer> taken = zones == null ? new HashMap<>() : zones;
             if (at < room.size()) {
                 Bin bin = room.get(at);
-                if ((bin.machine == null || !faulty.test(bin.machine.name())) && bin.take(spec, taken)) {
+                if ((bin.machine == null || !barred.test(bin.machine)) && bin.take(spec, taken)) {
                     left--;
                 } else {
                     at++;
--- a/src/main/java/org/springmill/control/coordination/StandIn.java
+++ b/src/main/java/org/springmill/control/coordination/StandIn.java
@@ -40,9 +40,12 @@
     /** @param holdsTerm whether this controller was elected and has not yet learned of a later term */
     boolean keeps(Report report, boolean holdsTerm) {
         boolean alone = !store.reachable() && alone();
+        if (alone) {
+            zones.add(report.zone());
+        }
         boolean keeps = leadership.vacant() || !holdsTerm && peers.helps()
                 || !store.reachable() && !holdsTerm && onTheWordOfOthers() || alone && unclaimed(report);
-        keeps &= horizon.covers() || alone && zoneIsCutOff(report);
+        keeps &= horizon.covers() || alone && zoneIsCutOff();
         if (keeps) {
             peers.stoodIn();
         }
@@ -80,8 +83,7 @@
      * itself what is cut off, and one that the state service refuses may be in the middle of an outage; nobody is then
      * sure to remove what it keeps.
      */
-    private boolean zoneIsCutOff(Report report) {
-        zones.add(report.zone());
+    private boolean zoneIsCutOff() {
         return zones.size() == 1 && reachedAt < aloneSince + timing.wordS() && !store.refuses();
     }
 
--- a/src/main/java/org/springmill/control/coordination/UserApi.java
+++ b/src/main/java/org/springmill/control/coordination/UserApi.java
@@ -281,6 +281,10 @@
     /** The write is conditional on the record's version, so that of done and cancelled the first stays. */
     private void cancel(Call call, JobRecord job, double until) {
         if (job.phase().terminal()) {
+            if (job.cancelled()) {
+                // Perhaps by a write of this very request whose answer was lost: nobody has told the others then.
+                announce.accept(new Cancellation(job.id(), job.version(), job.endedAt()));
+            }
             call.reply(200, UserMessages.phase(job.id(), job.phase()), 0);
             return;
         }
--- a/src/main/java/org/springmill/control/storage/RoundLog.java
+++ b/src/main/java/org/springmill/control/storage/RoundLog.java
@@ -274,7 +274,11 @@
         }
 
         private void refused(CommitResult result) {
-            if (result.failed().contains(leadership.key()) || !result.failed().contains(firstKey())) {
+            if (result.failed().isEmpty() && claims.size() + ends.size() > 1) {
+                // Something in it is not taken, whatever it is: the rest must not wait for that, nor the term end with it.
+                LOG.warn("round {} is refused by the state service and goes in two halves", firstKey());
+                split();
+            } else if (result.failed().contains(leadership.key()) || !result.failed().contains(firstKey())) {
                 if (!result.failed().contains(leadership.key())) {
                     LOG.error("round {} is refused by the state service", firstKey());
                 }
--- a/src/main/java/org/springmill/protocol/Settings.java
+++ b/src/main/java/org/springmill/protocol/Settings.java
@@ -36,6 +36,8 @@
     }
 
     public record State(double requestsPerS, double writesPerS, int valueBytes, int writesPerCommit) {
+        private static final int LEAST_VALUE_BYTES = 1024;
+
         /** Bursts are worth one second: a transaction larger than that, less what others write, would never be taken. */
         public State {
             writesPerCommit = Math.max(1, Math.min(writesPerCommit, (int) (writesPerS * 0.6)));
@@ -47,9 +49,13 @@
                     Math.min(valueBytes, other.valueBytes), Math.min(writesPerCommit, other.writesPerCommit));
         }
 
-        /** What is tried once the service has refused a transaction for its size although it kept to these limits. */
+        /**
+         * What is tried once the service has refused a transaction for its size although it kept to these limits. Never
+         * less than an ordinary job's record takes, and one write beside what it replaces.
+         */
         public State halved() {
-            return new State(requestsPerS, writesPerS, valueBytes / 2, Math.max(1, writesPerCommit / 2));
+            return new State(requestsPerS, writesPerS, Math.max(LEAST_VALUE_BYTES, valueBytes / 2),
+                    Math.max(2, writesPerCommit / 2));
         }
     }
 
--- a/src/test/java/org/springmill/control/coordination/FailureTest.java
+++ b/src/test/java/org/springmill/control/coordination/FailureTest.java
@@ -485,6 +485,34 @@
         }
     }
 
+    /**
+     * When a zone's cut is over its machines are heard one after the other, at first with the token of the leader inside.
+     * Those heard late, and those that had no time to show the new token, were given back with all that ran on them.
+     */
+    @Test
+    void machinesOfAZoneAreGivenTimeToBeHeardOnceItsCutIsOver() {
+        world.submit(0, World.job(JOB, "blue", "service", 8, 1, 4), Double.POSITIVE_INFINITY);
+        world.run(8);
+        assertEquals(8, world.running(JOB));
+        int inside = world.leader();
+        cutZone("b", inside);
+        world.run(60);
+        assertNotEquals(inside, world.leader());
+        List<SimWorker> there = world.cloud().machines().values().stream().filter(m -> m.zone().equals("b")).toList();
+        Set<String> addresses = new HashSet<>();
+        there.forEach(worker -> addresses.add(worker.address()));
+        world.network().judge((from, request) -> from.equals(there.get(0).name()) || addresses.contains(request.address())
+                ? Fate.DROP : Fate.DELIVER);
+        world.cutPeers(inside, false);
+        world.run(4);
+        world.network().judge((from, request) -> Fate.DELIVER);
+        world.run(30);
+        for (int i = 0; i < 8; i++) {
+            assertEquals(1, world.starts(JOB + "/" + i), "task " + i);
+        }
+        assertEquals(8, world.running(JOB));
+    }
+
     /** Tokens rise between two cuts; the second spell of loneliness must not be judged by those of the first. */
     @Test
     void aZoneIsCutOffTwice() {
