A held start after its task was cleared may not even begin: the test saw only starts that had fetched their image

With the token not raised before clear the task was started again, and halted while it fetched: the test passed all the same. It now fails without that guard.

--- a/src/test/java/org/springmill/control/coordination/FailureTest.java
+++ b/src/test/java/org/springmill/control/coordination/FailureTest.java
@@ -136,6 +136,8 @@
         world.run(10);
         assertEquals("done", world.phase(0, JOB));
         seen.forEach(world.network()::repeat);
+        // Not even begun: a start that is refused, not one that is halted while its image is fetched.
+        assertTrue(world.cloud().machines().values().stream().noneMatch(machine -> machine.holds(TASK)));
         world.run(10);
         assertEquals(1, world.starts(TASK));
     }
--- a/src/test/java/org/springmill/sim/SimWorker.java
+++ b/src/test/java/org/springmill/sim/SimWorker.java
@@ -107,7 +107,7 @@
     }
 
     /** Whether a task is here, be it still fetching. */
-    boolean holds(String task) {
+    public boolean holds(String task) {
         return !expired() && tasks.values().stream().anyMatch(t -> t.id.equals(task) && !t.over());
     }
 
