--- a/src/main/java/org/springmill/control/coordination/Demand.java
+++ b/src/main/java/org/springmill/control/coordination/Demand.java
@@ -18,7 +18,8 @@
 final class Demand {
     /**
      * Arrivals are counted over this many boots: long enough to be steady, short enough to follow a
-     * burst.
+     * burst. The boot time is that of the machines: taken from the workers' lease, which is not
+     * related to it, the window was almost twice as long where leases are long.
      */
     private static final double WINDOW_BOOTS = 3;
 
@@ -31,16 +32,14 @@
     private static final int MOST_TASKS = 100;
 
     private final Settings settings;
-    private final double windowS;
     private final double startedAt;
     private final Map<String, Deque<Arrival>> arrivals = new HashMap<>();
     private final Map<String, Submission> latest = new HashMap<>();
 
     private record Arrival(double at, int tasks) {}
 
-    Demand(Settings settings, double bootS, double now) {
+    Demand(Settings settings, double now) {
         this.settings = settings;
-        this.windowS = WINDOW_BOOTS * bootS;
         this.startedAt = now;
     }
 
@@ -111,13 +110,14 @@
         if (jobs == null) {
             return 1;
         }
-        while (!jobs.isEmpty() && jobs.peek().at() < now - windowS) {
+        double windowSeconds = WINDOW_BOOTS * bootS;
+        while (!jobs.isEmpty() && jobs.peek().at() < now - windowSeconds) {
             jobs.poll();
         }
         double over =
                 Math.max(
                         bootS,
-                        Math.min(windowS, now - startedAt - settings.workers().leaseS() / 2));
+                        Math.min(windowSeconds, now - startedAt - settings.workers().leaseS() / 2));
         double mean = jobs.stream().mapToDouble(Arrival::tasks).sum() / over * bootS;
         double variance =
                 jobs.stream().mapToDouble(job -> (double) job.tasks() * job.tasks()).sum()
--- a/src/main/java/org/springmill/control/coordination/Leader.java
+++ b/src/main/java/org/springmill/control/coordination/Leader.java
@@ -107,7 +107,7 @@
                                 leadership.deposed("a round was refused");
                             }
                         });
-        demand = new Demand(settings, timing.leaseS() * 3, loop.now());
+        demand = new Demand(settings, loop.now());
         order = new DependencyPriority(directory, clusterState);
         cancellations = new CancellationPersister(store, directory, leadership, loop);
         rentals =
--- /dev/null
+++ b/src/test/java/org/springmill/control/coordination/DemandTest.java
@@ -0,0 +1,37 @@
+package org.springmill.control.coordination;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
+import org.springmill.protocol.SettingsFixtures;
+import org.springmill.protocol.Submission;
+
+/** How many tasks of a class are expected while a machine boots. */
+class DemandTest {
+    private static final double BOOT_SECONDS = 45;
+    private static final double FIRST_ARRIVAL = 100;
+    private static final double LAST_ARRIVAL = 295;
+    private static final double ARRIVAL_INTERVAL = 5;
+
+    /**
+     * A job of one task every 5 s for 200 s, so nine for each boot, and about three more for
+     * chance. Arrivals count for three boots, 135 s, whatever the workers' lease: with a window of
+     * nine leases room stood ready for minutes after the last job had come.
+     */
+    @ParameterizedTest(name = "{0}")
+    @CsvSource({
+        "while jobs arrive,                       295, 13",
+        "a boot after the last,                   340, 9",
+        "most of the window after the last,       425, 2",
+        "the whole window after the last,         431, 0",
+    })
+    void arrivalsOfThreeBootsCount(String situation, double now, int expected) {
+        Demand demand = new Demand(SettingsFixtures.small(), 0);
+        Submission job = PackingFixtures.job(1).build();
+        for (double at = FIRST_ARRIVAL; at <= LAST_ARRIVAL; at += ARRIVAL_INTERVAL) {
+            demand.arrived(job, at, true);
+        }
+        assertEquals(expected, demand.expected(job.jobClass(), BOOT_SECONDS, now), situation);
+    }
+}
