Placement: the fullest holder of an image first, so that machines become empty

Cause: among machines that hold the image the emptiest was taken, so small tasks spread over all holders and few machines could be returned (177 of 474 paid for free GPUs). The design asks for most free room only where no machine holds the image; that stays. Test: ImageHolderPlacementTest, seen to fail without it.

--- a/src/main/java/org/springmill/control/coordination/Placement.java
+++ b/src/main/java/org/springmill/control/coordination/Placement.java
@@ -30,6 +30,12 @@
     /** Worth of keeping room whole for one of the largest replicas; less than any fetch. */
     private static final double SLOT_S = 0.6;
 
+    /**
+     * Worth of a machine's free room, all of it: among machines that hold the image the fullest is
+     * taken, among others the emptiest.
+     */
+    private static final double ROOM_SECONDS = 0.4;
+
     /** After so many leases without a place some room is kept for a job. */
     private static final double PATIENCE_LEASES = 4;
 
@@ -326,8 +332,8 @@
     }
 
     /**
-     * A holder of the image first, then the quickest fetch; among equals the one with most free
-     * room.
+     * A holder of the image first, the fullest of them; then the quickest fetch, and among equals
+     * the one with most free room.
      */
     private double placingCost(Job job, Machine machine, double now) {
         return machine.hasRoom(job.spec())
@@ -358,7 +364,9 @@
                             * (slots(machine, 0, 0, 0)
                                     - slots(machine, spec.cpus(), spec.gpus(), spec.memoryGb()));
         }
-        return score - roomShare(machine) * 0.4;
+        // Full machines leave others empty, and only empty ones can be returned.
+        double room = roomShare(machine) * ROOM_SECONDS;
+        return machine.holdsImage(spec.image()) ? score + room : score - room;
     }
 
     /**
