--- a/src/main/java/org/springmill/control/coordination/Demand.java
+++ b/src/main/java/org/springmill/control/coordination/Demand.java
@@ -1,8 +1,6 @@
 package org.springmill.control.coordination;
 
-import java.util.ArrayDeque;
 import java.util.ArrayList;
-import java.util.Deque;
 import java.util.HashMap;
 import java.util.HashSet;
 import java.util.List;
@@ -13,7 +11,7 @@
 import org.springmill.protocol.Submission;
 
 /**
- * Measures how fast tasks of each class arrive, to know how much room has to stand ready for them.
+ * Measures how fast tasks of each class arrive and end, to know how much room has to stand ready.
  */
 final class Demand {
     /**
@@ -33,11 +31,10 @@
 
     private final Settings settings;
     private final double startedAt;
-    private final Map<String, Deque<Arrival>> arrivals = new HashMap<>();
+    private final Map<String, RecentTasks> arrivals = new HashMap<>();
+    private final Map<String, RecentTasks> departures = new HashMap<>();
     private final Map<String, Submission> latest = new HashMap<>();
 
-    private record Arrival(double at, int tasks) {}
-
     Demand(Settings settings, double now) {
         this.settings = settings;
         this.startedAt = now;
@@ -51,12 +48,30 @@
         // What comes in the first moments of a term has mostly been waiting for it and says nothing
         // of the rate: at the
         // start of a fleet it had machines rented for as much again, which then never stood empty.
-        if (counted && now - startedAt > settings.workers().leaseS() / 2) {
-            arrivals.computeIfAbsent(job.jobClass(), c -> new ArrayDeque<>())
-                    .add(new Arrival(now, Math.min(job.tasks(), MOST_TASKS)));
+        if (counted && isSettled(now)) {
+            recent(arrivals, job.jobClass()).add(now, Math.min(job.tasks(), MOST_TASKS));
+        }
+    }
+
+    /** Notes that a task is done or its job cancelled, so that its room is free for others. */
+    void departed(Submission job, double now) {
+        if (isSettled(now)) {
+            recent(departures, job.jobClass()).add(now, 1);
         }
     }
 
+    private boolean isSettled(double now) {
+        return measuredSeconds(now) > 0;
+    }
+
+    private double measuredSeconds(double now) {
+        return now - startedAt - settings.workers().leaseS() / 2;
+    }
+
+    private static RecentTasks recent(Map<String, RecentTasks> byClass, String jobClass) {
+        return byClass.computeIfAbsent(jobClass, name -> new RecentTasks());
+    }
+
     /**
      * Classes that have to start sooner than a machine boots, or to be finished within so few boots
      * that none of them may go by in waiting; each with a job to stand for it.
@@ -101,28 +116,23 @@
     }
 
     /**
-     * How many tasks of a class to expect while a machine boots, with what chance adds on top: jobs
-     * come at random, but each brings all of its tasks at once, so chance is as large as the jobs
-     * are.
+     * For how many tasks of a class more room than now is to be expected while a machine boots:
+     * those that arrive less those that end, with what chance adds on top. Jobs come at random, but
+     * each brings all of its tasks at once, so chance is as large as the jobs are. While ends did
+     * not count, room for a whole boot's arrivals stood empty beside the room that became free.
      */
     int expected(String jobClass, double bootS, double now) {
-        Deque<Arrival> jobs = arrivals.get(jobClass);
-        if (jobs == null) {
+        if (!arrivals.containsKey(jobClass)) {
             return 1;
         }
         double windowSeconds = WINDOW_BOOTS * bootS;
-        while (!jobs.isEmpty() && jobs.peek().at() < now - windowSeconds) {
-            jobs.poll();
-        }
-        double over =
-                Math.max(
-                        bootS,
-                        Math.min(windowSeconds, now - startedAt - settings.workers().leaseS() / 2));
-        double mean = jobs.stream().mapToDouble(Arrival::tasks).sum() / over * bootS;
-        double variance =
-                jobs.stream().mapToDouble(job -> (double) job.tasks() * job.tasks()).sum()
-                        / over
-                        * bootS;
-        return (int) Math.ceil((mean + Math.sqrt(variance)) * settings.operator().reserve());
+        double boots = Math.max(bootS, Math.min(windowSeconds, measuredSeconds(now))) / bootS;
+        RecentTasks arrived = recent(arrivals, jobClass);
+        RecentTasks departed = recent(departures, jobClass);
+        arrived.forgetBefore(now - windowSeconds);
+        departed.forgetBefore(now - windowSeconds);
+        double growth = Math.max(0, arrived.tasks() - departed.tasks()) / boots;
+        double chance = Math.sqrt(arrived.squares() / boots);
+        return (int) Math.ceil((growth + chance) * settings.operator().reserve());
     }
 }
--- a/src/test/java/org/springmill/control/coordination/DemandTest.java
+++ b/src/test/java/org/springmill/control/coordination/DemandTest.java
@@ -34,4 +34,32 @@
         }
         assertEquals(expected, demand.expected(job.jobClass(), BOOT_SECONDS, now), situation);
     }
+
+    /**
+     * Room that becomes free while a machine boots is room for what arrives meanwhile; what is kept
+     * for chance does not depend on it. Without ends the nine tasks of a boot and three for chance
+     * had room kept for them beside the room of those that ended.
+     */
+    @ParameterizedTest(name = "{0}")
+    @CsvSource({
+        "nothing ends,                          0, 13",
+        "a third as much ends as arrives,       1, 10",
+        "as much ends as arrives,               3, 4",
+        "more ends than arrives,                6, 4",
+    })
+    void endsLeaveRoomForArrivals(String situation, int endsOfThreeArrivals, int expected) {
+        Demand demand = new Demand(SettingsFixtures.small(), 0);
+        Submission job = PackingFixtures.job(1).build();
+        int arrival = 0;
+        for (double at = FIRST_ARRIVAL; at <= LAST_ARRIVAL; at += ARRIVAL_INTERVAL) {
+            demand.arrived(job, at, true);
+            int ends = endsOfThreeArrivals * (arrival + 1) / 3 - endsOfThreeArrivals * arrival / 3;
+            for (int i = 0; i < ends; i++) {
+                demand.departed(job, at);
+            }
+            arrival++;
+        }
+        assertEquals(
+                expected, demand.expected(job.jobClass(), BOOT_SECONDS, LAST_ARRIVAL), situation);
+    }
 }
