Settings: what a platform's settings could get wrong is refused or warned of

A report interval not below the lease and a deployment without zones are refused; a report interval that one lost report turns into a lost lease, a lease not below cancel_s, a zone that is not listed and a memory limit below what the process may grow to are warned of, each with field and remedy. A zone for which the cloud offers no machine type is logged, for only the cloud tells.

--- a/src/main/java/org/springmill/cli/SettingsOptions.java
+++ b/src/main/java/org/springmill/cli/SettingsOptions.java
@@ -4,10 +4,13 @@
 import org.springmill.protocol.Settings;
 import org.springmill.protocol.SettingsException;
 import org.springmill.protocol.SettingsFile;
+import org.springmill.protocol.SettingsWarnings;
 import picocli.CommandLine.Option;
 
 /** The files that settings come from. */
 final class SettingsOptions {
+    private static final double BYTES_PER_MB = 1024.0 * 1024.0;
+
     @Option(
             names = "--config",
             required = true,
@@ -25,7 +28,13 @@
         return config;
     }
 
+    /** Reads and checks the settings; what looks mistaken is told on standard error. */
     Settings read() throws SettingsException {
-        return SettingsFile.read(config, operator);
+        Settings settings = SettingsFile.read(config, operator);
+        double heapBoundMb = Runtime.getRuntime().maxMemory() / BYTES_PER_MB;
+        for (String warning : SettingsWarnings.of(settings, heapBoundMb)) {
+            System.err.println("springmill: warning: " + config + ": " + warning);
+        }
+        return settings;
     }
 }
--- a/src/main/java/org/springmill/control/coordination/MachineTypeCatalog.java
+++ b/src/main/java/org/springmill/control/coordination/MachineTypeCatalog.java
@@ -1,5 +1,6 @@
 package org.springmill.control.coordination;
 
+import java.util.Collection;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
@@ -64,6 +65,9 @@
             if (!read.isEmpty()) {
                 Map<String, MachineType> byName = new LinkedHashMap<>();
                 read.forEach(type -> byName.put(type.name(), type));
+                if (!byName.keySet().equals(types.keySet())) {
+                    warnOfZonesWithoutTypes(byName.values());
+                }
                 types = byName;
             }
         } catch (BadMessageException e) {
@@ -71,6 +75,15 @@
         }
     }
 
+    /** A zone without machines cannot take its part of jobs that are spread over zones. */
+    private void warnOfZonesWithoutTypes(Collection<MachineType> offered) {
+        for (String zone : settings.zones()) {
+            if (offered.stream().noneMatch(type -> type.zones().contains(zone))) {
+                LOG.warn("cluster.zones: the cloud offers no machine type in zone {}", zone);
+            }
+        }
+    }
+
     /** Whether the cloud has answered. */
     boolean known() {
         return !types.isEmpty();
--- a/src/main/java/org/springmill/protocol/SettingsFile.java
+++ b/src/main/java/org/springmill/protocol/SettingsFile.java
@@ -63,7 +63,7 @@
                 peers(root, node),
                 services.address("cloud"),
                 services.address("state"),
-                cluster.texts("zones"),
+                zones(cluster),
                 cluster.positive("skew_ms") / MILLIS_PER_SECOND,
                 teams(cluster),
                 objectives(cluster),
@@ -88,6 +88,14 @@
         return Map.copyOf(peers);
     }
 
+    private static List<String> zones(SettingsTable cluster) throws SettingsException {
+        List<String> zones = cluster.texts("zones");
+        if (zones.isEmpty()) {
+            throw cluster.bad("zones", "names no zone; list all zones of the deployment");
+        }
+        return zones;
+    }
+
     private static List<Settings.Team> teams(SettingsTable cluster) throws SettingsException {
         List<Settings.Team> teams = new ArrayList<>();
         for (SettingsTable team : cluster.tables("teams")) {
@@ -117,10 +125,15 @@
     }
 
     private static Settings.Workers workers(SettingsTable workers) throws SettingsException {
-        return new Settings.Workers(
-                workers.positive("report_s"),
-                workers.positive("lease_s"),
-                workers.positive("cancel_s"));
+        double reportSeconds = workers.positive("report_s");
+        double leaseSeconds = workers.positive("lease_s");
+        if (reportSeconds >= leaseSeconds) {
+            throw workers.bad(
+                    "report_s",
+                    "is not below lease_s, so that every lease would end between two reports; set"
+                            + " it to less than half of lease_s");
+        }
+        return new Settings.Workers(reportSeconds, leaseSeconds, workers.positive("cancel_s"));
     }
 
     private static Settings.Cloud cloud(SettingsTable cloud) throws SettingsException {
--- /dev/null
+++ b/src/test/java/org/springmill/protocol/SettingsWarningsTest.java
@@ -0,0 +1,63 @@
+package org.springmill.protocol;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.util.List;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
+
+/** Which settings are warned of, and with what remedy. */
+class SettingsWarningsTest {
+    private static Settings settings(
+            String zone,
+            double reportSeconds,
+            double leaseSeconds,
+            double cancelSeconds,
+            double memoryMb) {
+        Settings small = SettingsFixtures.small();
+        return new Settings(
+                small.node(),
+                zone,
+                small.listen(),
+                small.peerListen(),
+                small.peers(),
+                small.cloudAddress(),
+                small.stateAddress(),
+                small.zones(),
+                small.skewS(),
+                small.teams(),
+                small.objectives(),
+                new Settings.Workers(reportSeconds, leaseSeconds, cancelSeconds),
+                small.state(),
+                small.cloud(),
+                new Settings.Limits(0.1, memoryMb, 600),
+                small.operator());
+    }
+
+    @ParameterizedTest(name = "{0}")
+    @CsvSource({
+        "settings that fit together,        a, 5, 26, 56, 148, ''",
+        "the run line just fits,            a, 5, 26, 56, 128, ''",
+        "less memory than the heap needs,   a, 5, 26, 56, 127, ram_mb is 127: -Xmx55m or less",
+        "a lost report ends a lease,        a, 11, 26, 56, 148, report_s is 11.0: set it to 10.4 or less",
+        "reports just often enough,         a, 10.4, 26, 56, 148, ''",
+        "a lease as long as a cancellation, a, 5, 26, 26, 148, cancel_s is 26.0: set it above 26.0",
+        "a zone that is not listed,         c, 5, 26, 56, 148, site is: add the zone",
+    })
+    void settingsThatWereHardlyMeantAreWarnedOf(
+            String situation,
+            String zone,
+            double reportSeconds,
+            double leaseSeconds,
+            double cancelSeconds,
+            double memoryMb,
+            String expected) {
+        Settings settings = settings(zone, reportSeconds, leaseSeconds, cancelSeconds, memoryMb);
+        List<String> warnings = SettingsWarnings.of(settings, 56);
+        assertEquals(expected.isEmpty() ? 0 : 1, warnings.size(), () -> situation + warnings);
+        for (String part : expected.isEmpty() ? List.<String>of() : List.of(expected.split(": "))) {
+            assertTrue(warnings.get(0).contains(part), warnings::toString);
+        }
+    }
+}
