Placement: ranking, score, reservations and preemption are classes of their own

Amounts of CPUs, GPUs and memory that went around as three doubles or an array are a record, Resources, which also holds the one comparison with tolerance that stood in three classes. Whether any job waits is asked without sorting all that do.

--- a/src/main/java/org/springmill/control/coordination/Bin.java
+++ b/src/main/java/org/springmill/control/coordination/Bin.java
@@ -16,9 +16,6 @@
         BOOTING
     }
 
-    /** Resources are sums of decimal fractions, and off by the rounding of these. */
-    private static final double ROUNDING = 1e-6;
-
     private final MachineKind kind;
 
     /** Null for a machine that is not rented yet. */
@@ -116,7 +113,7 @@
     }
 
     private static double holds(double free, double each, int tasks) {
-        return each == 0 ? tasks : (free + ROUNDING) / each;
+        return each == 0 ? tasks : (free + Resources.ROUNDING) / each;
     }
 
     /**
@@ -150,8 +147,6 @@
     }
 
     private boolean hasRoom(Submission spec) {
-        return spec.cpus() <= freeCpus + ROUNDING
-                && spec.gpus() <= freeGpus + ROUNDING
-                && spec.memoryGb() <= freeMemoryGb + ROUNDING;
+        return new Resources(freeCpus, freeGpus, freeMemoryGb).hold(spec);
     }
 }
--- a/src/main/java/org/springmill/control/coordination/Leader.java
+++ b/src/main/java/org/springmill/control/coordination/Leader.java
@@ -91,6 +91,7 @@
                 new Rounds(
                         fleet,
                         placement,
+                        new Preemption(fleet, placement, timing),
                         log,
                         leadership,
                         loop,
--- a/src/main/java/org/springmill/control/coordination/Machine.java
+++ b/src/main/java/org/springmill/control/coordination/Machine.java
@@ -368,9 +368,7 @@
     }
 
     boolean hasRoom(Submission spec) {
-        return spec.cpus() <= freeCpus() + 1e-6
-                && spec.gpus() <= freeGpus() + 1e-6
-                && spec.memoryGb() <= freeMemory() + 1e-6;
+        return Resources.freeOn(this).hold(spec);
     }
 
     /** Whether this kind of machine is one that the job may run on. */
--- /dev/null
+++ b/src/main/java/org/springmill/control/coordination/Preemption.java
@@ -0,0 +1,197 @@
+package org.springmill.control.coordination;
+
+import java.util.ArrayList;
+import java.util.Comparator;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
+import org.springmill.protocol.Priority;
+import org.springmill.protocol.Submission;
+
+/** Chooses what is stopped for waiting jobs that find no place otherwise. */
+final class Preemption {
+    private static final Logger LOG = LoggerFactory.getLogger(Preemption.class);
+
+    /** What stopping a task costs beside its lost work, so that few large ones are preferred. */
+    private static final double VICTIM_SECONDS = 10;
+
+    private final Fleet fleet;
+    private final Placement placement;
+    private final Timing timing;
+
+    Preemption(Fleet fleet, Placement placement, Timing timing) {
+        this.fleet = fleet;
+        this.placement = placement;
+        this.timing = timing;
+    }
+
+    private ClusterState.Usage usage(Job job) {
+        return fleet.clusterState().usage(job.spec().team());
+    }
+
+    /** Stops work of lower right where a waiting job finds no place otherwise. */
+    void makeRoomForWaiting() {
+        double now = fleet.now();
+        List<Job> waiting = placement.waiting();
+        waiting.removeIf(job -> now < job.notBefore());
+        if (waiting.stream().noneMatch(this::mayStopAny)) {
+            return;
+        }
+        List<Machine> open = placement.open(now);
+        Map<Machine, Resources> promised = new HashMap<>();
+        fleet.clusterState().releaseHeld();
+        for (Job job : waiting) {
+            // By the same measure as placement: tasks gave way, without end, to a job whose part of
+            // its team's limit was held for an earlier one.
+            int wanted = Math.min(job.waiting(), usage(job).roomBesideHeld(job.spec()));
+            if (job.spec().service() && wanted > 0) {
+                usage(job).hold(job.spec(), job.waiting());
+            }
+            if (!mayStopAny(job)) {
+                continue;
+            }
+            int guaranteed = usage(job).guaranteedRoomFor(job.spec());
+            int[] made = new int[1];
+            MachineRanking ranking =
+                    new MachineRanking(
+                            open,
+                            machine -> cost(job, made[0] < guaranteed, machine, promised, now));
+            for (; made[0] < wanted; made[0]++) {
+                Machine machine = ranking.best();
+                if (machine == null) {
+                    break;
+                }
+                makeRoom(job, made[0] < guaranteed, machine, promised, now);
+            }
+        }
+    }
+
+    /** Whether anything at all may be stopped for a job: most find at a glance that nothing may. */
+    private boolean mayStopAny(Job job) {
+        return fleet.clusterState().runsBelow(job.priority())
+                || (usage(job).guaranteedFor(job.spec())
+                        && fleet.clusterState().otherAboveGuarantee(job.spec().team()));
+    }
+
+    /** Frees room for one task, unless enough is being freed already. */
+    private void makeRoom(
+            Job job,
+            boolean guaranteed,
+            Machine machine,
+            Map<Machine, Resources> promised,
+            double now) {
+        List<Attempt> victims = victims(job, guaranteed, machine, promised.get(machine), now);
+        promised.put(machine, promised.getOrDefault(machine, Resources.NONE).plus(job.spec()));
+        double savingSeconds = 0;
+        for (Attempt victim : victims) {
+            Submission spec = victim.job().spec();
+            savingSeconds = Math.max(savingSeconds, spec.saveS());
+            LOG.debug(
+                    "{} of {} gives way to {} of {} on {}",
+                    victim.claim().task(),
+                    spec.team(),
+                    job.id(),
+                    job.spec().team(),
+                    machine.name());
+            fleet.stopSaving(victim);
+        }
+        machine.keepFor(job, now + savingSeconds + timing.reportS());
+    }
+
+    /** What it costs to make room for one task on a machine; infinite if it cannot be done. */
+    private double cost(
+            Job job,
+            boolean guaranteed,
+            Machine machine,
+            Map<Machine, Resources> promised,
+            double now) {
+        if (!Placement.eligible(job, machine)) {
+            return Double.POSITIVE_INFINITY;
+        }
+        List<Attempt> victims = victims(job, guaranteed, machine, promised.get(machine), now);
+        if (victims == null) {
+            return Double.POSITIVE_INFINITY;
+        }
+        double cost = placement.score().of(job, machine, now);
+        for (Attempt victim : victims) {
+            cost += VICTIM_SECONDS + lostWork(victim, now);
+        }
+        return cost;
+    }
+
+    /**
+     * What has to be stopped on a machine for one more task of a job to fit; null if it cannot.
+     *
+     * @param promised what is being freed there for other tasks, or null
+     */
+    private List<Attempt> victims(
+            Job job, boolean guaranteed, Machine machine, Resources promised, double now) {
+        Resources free = Resources.freeOn(machine);
+        if (promised != null) {
+            free = free.minus(promised);
+        }
+        List<Attempt> candidates = new ArrayList<>();
+        for (Attempt attempt : machine.attempts()) {
+            if (isLeaving(attempt)) {
+                free = free.plus(attempt.job().spec());
+            } else if (attempt.state() != Attempt.State.CLAIMING) {
+                candidates.add(attempt);
+            }
+        }
+        candidates.sort(
+                Comparator.comparing((Attempt a) -> a.job().priority())
+                        .reversed()
+                        .thenComparingDouble(a -> lostWork(a, now)));
+        List<Attempt> victims = new ArrayList<>();
+        for (Attempt victim : candidates) {
+            if (free.hold(job.spec())) {
+                break;
+            }
+            if (mayStop(victim, job, guaranteed, victims)) {
+                free = free.plus(victim.job().spec());
+                victims.add(victim);
+            }
+        }
+        return free.hold(job.spec()) ? victims : null;
+    }
+
+    private static boolean isLeaving(Attempt attempt) {
+        return attempt.state() == Attempt.State.STOPPING || attempt.state() == Attempt.State.ENDED;
+    }
+
+    private static double lostWork(Attempt attempt, double now) {
+        Submission spec = attempt.job().spec();
+        double ran = attempt.state() == Attempt.State.RUNNING ? now - attempt.runningSince() : 0;
+        return spec.checkpoints() ? Math.min(ran, spec.saveS()) : ran;
+    }
+
+    /**
+     * The protocol's grounds for stopping one job's task for another's. For a guarantee only what a
+     * team runs in excess of its own is stopped, counting what is being stopped already, and
+     * nothing of a higher priority: else the team that gave way was itself owed its guarantee, or
+     * stood first in line again, and the two stopped each other's tasks several times a second.
+     */
+    private boolean mayStop(Attempt victim, Job job, boolean guaranteed, List<Attempt> before) {
+        Submission loser = victim.job().spec();
+        Priority right = job.priority();
+        if (right.above(victim.job().priority())) {
+            return true;
+        }
+        if (!guaranteed
+                || loser.team().equals(job.spec().team())
+                || victim.job().priority().above(right)) {
+            return false;
+        }
+        double cpus = loser.cpus();
+        double gpus = loser.gpus();
+        for (Attempt other : before) {
+            if (other.job().spec().team().equals(loser.team())) {
+                cpus += other.job().spec().cpus();
+                gpus += other.job().spec().gpus();
+            }
+        }
+        return usage(victim.job()).exceedsGuaranteeWithout(cpus, gpus);
+    }
+}
--- a/src/main/java/org/springmill/control/coordination/RentalPlanner.java
+++ b/src/main/java/org/springmill/control/coordination/RentalPlanner.java
@@ -148,7 +148,8 @@
     }
 
     private boolean isExcluded(Machine machine, Job job) {
-        return job.hasFailedOn(machine.name()) || placement.reservedFrom(job, machine);
+        return job.hasFailedOn(machine.name())
+                || placement.reservations().reservedFrom(job, machine);
     }
 
     private int tasksWithinLimit(Job job) {
--- /dev/null
+++ b/src/main/java/org/springmill/control/coordination/Reservations.java
@@ -0,0 +1,154 @@
+package org.springmill.control.coordination;
+
+import java.util.ArrayList;
+import java.util.Comparator;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
+
+/**
+ * Guards jobs against starvation: a job that has waited very long for its first place gets a
+ * machine reserved, on which nothing of lower right is placed until it fits.
+ */
+final class Reservations {
+    private static final Logger LOG = LoggerFactory.getLogger(Reservations.class);
+
+    /** After so many leases without a place a machine is reserved for a job. */
+    private static final double LEASES_BEFORE_RESERVATION = 4;
+
+    /** So much of the fleet, one machine at least, is reserved at a time. */
+    private static final double RESERVED_SHARE = 1 / 8.0;
+
+    private final Fleet fleet;
+    private final Timing timing;
+
+    /**
+     * Since when each job has waited for its first place, or a service for room for all of its
+     * replicas.
+     */
+    private final Map<Job, Double> waitsSince = new HashMap<>();
+
+    /** Machines that run empty for a job that waited too long. */
+    private final Map<Machine, Job> reserved = new LinkedHashMap<>();
+
+    Reservations(Fleet fleet, Timing timing) {
+        this.fleet = fleet;
+        this.timing = timing;
+    }
+
+    private ClusterState.Usage usage(Job job) {
+        return fleet.clusterState().usage(job.spec().team());
+    }
+
+    private static boolean begun(Job job) {
+        return !job.spec().service() && job.liveCount() > 0;
+    }
+
+    /** Notes who waits, and gives up reservations that are of no more use. */
+    void update(List<Job> waiting, double now) {
+        Set<Job> waits = new HashSet<>(waiting);
+        waits.removeIf(Reservations::begun);
+        waitsSince.keySet().retainAll(waits);
+        waits.forEach(job -> waitsSince.putIfAbsent(job, now));
+        reserved.entrySet()
+                .removeIf(
+                        e ->
+                                !waits.contains(e.getValue())
+                                        || !isOfUse(e.getKey(), e.getValue(), now));
+    }
+
+    /**
+     * Keeps the machine that should have room soonest from work of no higher priority. Where there
+     * is more work than room, what is small takes each piece as it comes free; a task that needs
+     * most of a machine never began.
+     */
+    void reserve(Job job, List<Machine> open, double now) {
+        // Nor for one that fails where it runs: it waits for itself.
+        boolean hasNoClaim =
+                begun(job)
+                        || job.machinesFailedOn() > 1
+                        || now - waitsSince.get(job) < LEASES_BEFORE_RESERVATION * timing.leaseS();
+        if (hasNoClaim
+                || reserved.containsValue(job)
+                || reserved.size() >= Math.max(1, open.size() * RESERVED_SHARE)) {
+            return;
+        }
+        Machine best = null;
+        double soonest = Double.POSITIVE_INFINITY;
+        for (Machine machine : open) {
+            double seconds =
+                    Placement.eligible(job, machine) && !reserved.containsKey(machine)
+                            ? secondsUntilRoom(job, machine, now)
+                            : soonest;
+            if (seconds < soonest) {
+                soonest = seconds;
+                best = machine;
+            }
+        }
+        if (best != null) {
+            LOG.info("{} waits for its turn: {} is kept for it", job.id(), best.name());
+            reserved.put(best, job);
+        }
+    }
+
+    /**
+     * When a machine should have room for a task if nothing else is placed there; never if replicas
+     * stand in the way.
+     */
+    private static double secondsUntilRoom(Job job, Machine machine, double now) {
+        Resources free = Resources.freeOn(machine);
+        List<Attempt> ending = new ArrayList<>();
+        for (Attempt attempt : machine.attempts()) {
+            if (!attempt.job().spec().service() || attempt.state() == Attempt.State.STOPPING) {
+                ending.add(attempt);
+            }
+        }
+        ending.sort(Comparator.comparingDouble(attempt -> secondsUntilEnd(attempt, now)));
+        double seconds = 0;
+        for (Attempt attempt : ending) {
+            if (free.hold(job.spec())) {
+                break;
+            }
+            free = free.plus(attempt.job().spec());
+            seconds = secondsUntilEnd(attempt, now);
+        }
+        return free.hold(job.spec()) ? seconds : Double.POSITIVE_INFINITY;
+    }
+
+    private static double secondsUntilEnd(Attempt attempt, double now) {
+        double ran = attempt.state() == Attempt.State.RUNNING ? now - attempt.runningSince() : 0;
+        return attempt.state() == Attempt.State.STOPPING
+                ? 0
+                : Math.max(0, attempt.job().spec().estimateS() - ran);
+    }
+
+    /**
+     * A machine kept for a job that may not be placed there, or not at all by now, would only stand
+     * idle.
+     */
+    private boolean isOfUse(Machine machine, Job job, double now) {
+        return machine.takesWork(now, timing.quietS())
+                && Placement.eligible(job, machine)
+                && now >= job.notBefore()
+                && usage(job).allows(job.spec());
+    }
+
+    /**
+     * Whether a machine is kept for another job, but for work that comes before that one in any
+     * case.
+     */
+    boolean reservedFrom(Job job, Machine machine) {
+        Job other = reserved.get(machine);
+        if (other == null || other == job || job.priority().above(other.priority())) {
+            return false;
+        }
+        return other.priority().above(job.priority())
+                || !usage(job).guaranteedFor(job.spec())
+                || usage(other).guaranteedFor(other.spec());
+    }
+}
--- a/src/main/java/org/springmill/control/coordination/Rounds.java
+++ b/src/main/java/org/springmill/control/coordination/Rounds.java
@@ -26,6 +26,7 @@
 
     private final Fleet fleet;
     private final Placement placement;
+    private final Preemption preemption;
     private final RoundLog log;
     private final Leadership leadership;
     private final Loop loop;
@@ -42,6 +43,7 @@
     Rounds(
             Fleet fleet,
             Placement placement,
+            Preemption preemption,
             RoundLog log,
             Leadership leadership,
             Loop loop,
@@ -49,6 +51,7 @@
             Listener listener) {
         this.fleet = fleet;
         this.placement = placement;
+        this.preemption = preemption;
         this.log = log;
         this.leadership = leadership;
         this.loop = loop;
@@ -85,7 +88,7 @@
         lastRound = loop.now();
         List<Attempt> ended = fleet.clusterState().takeEnded(log.endsPerRound());
         List<Attempt> claimed = placement.place(log.next(), log.claimsBeside(ended.size()));
-        placement.preempt();
+        preemption.makeRoomForWaiting();
         if (ended.isEmpty() && claimed.isEmpty()) {
             return;
         }
@@ -112,7 +115,7 @@
         if (!fleet.clusterState().hasEnded()) {
             return false;
         }
-        boolean workWaits = !placement.waiting().isEmpty();
+        boolean workWaits = placement.anyWaiting();
         double seconds =
                 endBatching.postponeSeconds(fleet.clusterState().ended(), workWaits, loop.now());
         if (seconds == 0) {
--- a/src/test/java/org/springmill/control/coordination/StrandedCpusTest.java
+++ b/src/test/java/org/springmill/control/coordination/StrandedCpusTest.java
@@ -50,7 +50,7 @@
             boolean expected) {
         Submission spec = PackingFixtures.job(1).size(cpus, gpus, memoryGb).build();
         Machine machine = running(usedCpus, usedGpus);
-        assertEquals(expected, Placement.usesStrandedCpus(spec, machine, LARGEST), situation);
-        assertFalse(Placement.usesStrandedCpus(spec, machine, null), situation);
+        assertEquals(expected, MachineScore.usesStrandedCpus(spec, machine, LARGEST), situation);
+        assertFalse(MachineScore.usesStrandedCpus(spec, machine, null), situation);
     }
 }
