--- a/src/main/java/org/springmill/control/coordination/Demand.java
+++ b/src/main/java/org/springmill/control/coordination/Demand.java
@@ -26,6 +26,9 @@
     /** Machines fetch at their type's rate, give or take a third. */
     private static final double SLOW_FETCH = 4 / 3.0;
 
+    /** Of fetches that vary so much, two in three take longer than this share of the usual time. */
+    private static final double QUICK_FETCH = 0.9;
+
     /** No room is kept for more tasks of one job than this. */
     private static final int MOST_TASKS = 100;
 
@@ -103,12 +106,30 @@
      * hold one are not given up.
      */
     boolean boundToImages(MachineType type) {
+        return isFetchLate(type, SLOW_FETCH);
+    }
+
+    /**
+     * Whether most fetches on a type of machine are too late for some class that runs there. Room
+     * that just became free on some machine then is no room for it: it needs one that holds the
+     * image, and the more machines have room the more likely one of them does.
+     */
+    boolean areMostFetchesLate(MachineType type) {
+        return isFetchLate(type, QUICK_FETCH);
+    }
+
+    /**
+     * Whether some class that runs on a type of machine has to start in less than a fetch takes.
+     *
+     * @param slowness how long the fetch takes, as a multiple of the usual time
+     */
+    private boolean isFetchLate(MachineType type, double slowness) {
         for (Settings.Objective objective : settings.objectives()) {
             Submission job =
                     objective.kind().equals("wait") ? latest.get(objective.jobClass()) : null;
             if (job != null
                     && type.fits(job)
-                    && job.imageGb() * SLOW_FETCH > objective.withinS() * type.fetchGbPerS()) {
+                    && job.imageGb() * slowness > objective.withinS() * type.fetchGbPerS()) {
                 return true;
             }
         }
@@ -116,12 +137,14 @@
     }
 
     /**
-     * For how many tasks of a class more room than now is to be expected while a machine boots:
-     * those that arrive less those that end, with what chance adds on top. Jobs come at random, but
-     * each brings all of its tasks at once, so chance is as large as the jobs are. While ends did
-     * not count, room for a whole boot's arrivals stood empty beside the room that became free.
+     * How many tasks of a class room has to stand ready for while a machine boots: those that
+     * arrive, with what chance adds on top. Jobs come at random, but each brings all of its tasks
+     * at once, so chance is as large as the jobs are.
+     *
+     * @param endsLeaveRoom whether tasks that end leave room for those that arrive; where they do
+     *     and did not count, room for a whole boot's arrivals stood empty beside it
      */
-    int expected(String jobClass, double bootS, double now) {
+    int expected(String jobClass, boolean endsLeaveRoom, double bootS, double now) {
         if (!arrivals.containsKey(jobClass)) {
             return 1;
         }
@@ -131,7 +154,8 @@
         RecentTasks departed = recent(departures, jobClass);
         arrived.forgetBefore(now - windowSeconds);
         departed.forgetBefore(now - windowSeconds);
-        double growth = Math.max(0, arrived.tasks() - departed.tasks()) / boots;
+        double ends = endsLeaveRoom ? departed.tasks() : 0;
+        double growth = Math.max(0, arrived.tasks() - ends) / boots;
         double chance = Math.sqrt(arrived.squares() / boots);
         return (int) Math.ceil((growth + chance) * settings.operator().reserve());
     }
--- a/src/test/java/org/springmill/control/coordination/PackingFixtures.java
+++ b/src/test/java/org/springmill/control/coordination/PackingFixtures.java
@@ -29,6 +29,7 @@
         private String zone;
         private boolean spread;
         private boolean spot;
+        private double imageGb = 1;
 
         private JobBuilder(int tasks) {
             this.tasks = tasks;
@@ -41,6 +42,11 @@
             return this;
         }
 
+        JobBuilder imageGb(double newImageGb) {
+            imageGb = newImageGb;
+            return this;
+        }
+
         JobBuilder zone(String only) {
             zone = only;
             return this;
@@ -68,7 +74,7 @@
                     gpus,
                     memoryGb,
                     "image",
-                    1,
+                    imageGb,
                     null,
                     zone,
                     false,
