--- a/src/main/java/org/springmill/control/coordination/Demand.java
+++ b/src/main/java/org/springmill/control/coordination/Demand.java
@@ -1,6 +1,8 @@
 package org.springmill.control.coordination;
 
+import java.util.ArrayDeque;
 import java.util.ArrayList;
+import java.util.Deque;
 import java.util.HashMap;
 import java.util.HashSet;
 import java.util.List;
@@ -11,7 +13,7 @@
 import org.springmill.protocol.Submission;
 
 /**
- * Measures how fast tasks of each class arrive and end, to know how much room has to stand ready.
+ * Measures how fast tasks of each class arrive, to know how much room has to stand ready for them.
  */
 final class Demand {
     /**
@@ -26,18 +28,16 @@
     /** Machines fetch at their type's rate, give or take a third. */
     private static final double SLOW_FETCH = 4 / 3.0;
 
-    /** Of fetches that vary so much, two in three take longer than this share of the usual time. */
-    private static final double QUICK_FETCH = 0.9;
-
     /** No room is kept for more tasks of one job than this. */
     private static final int MOST_TASKS = 100;
 
     private final Settings settings;
     private final double startedAt;
-    private final Map<String, RecentTasks> arrivals = new HashMap<>();
-    private final Map<String, RecentTasks> departures = new HashMap<>();
+    private final Map<String, Deque<Arrival>> arrivals = new HashMap<>();
     private final Map<String, Submission> latest = new HashMap<>();
 
+    private record Arrival(double at, int tasks) {}
+
     Demand(Settings settings, double now) {
         this.settings = settings;
         this.startedAt = now;
@@ -51,30 +51,12 @@
         // What comes in the first moments of a term has mostly been waiting for it and says nothing
         // of the rate: at the
         // start of a fleet it had machines rented for as much again, which then never stood empty.
-        if (counted && isSettled(now)) {
-            recent(arrivals, job.jobClass()).add(now, Math.min(job.tasks(), MOST_TASKS));
-        }
-    }
-
-    /** Notes that a task is done or its job cancelled, so that its room is free for others. */
-    void departed(Submission job, double now) {
-        if (isSettled(now)) {
-            recent(departures, job.jobClass()).add(now, 1);
+        if (counted && now - startedAt > settings.workers().leaseS() / 2) {
+            arrivals.computeIfAbsent(job.jobClass(), c -> new ArrayDeque<>())
+                    .add(new Arrival(now, Math.min(job.tasks(), MOST_TASKS)));
         }
     }
 
-    private boolean isSettled(double now) {
-        return measuredSeconds(now) > 0;
-    }
-
-    private double measuredSeconds(double now) {
-        return now - startedAt - settings.workers().leaseS() / 2;
-    }
-
-    private static RecentTasks recent(Map<String, RecentTasks> byClass, String jobClass) {
-        return byClass.computeIfAbsent(jobClass, name -> new RecentTasks());
-    }
-
     /**
      * Classes that have to start sooner than a machine boots, or to be finished within so few boots
      * that none of them may go by in waiting; each with a job to stand for it.
@@ -106,30 +88,12 @@
      * hold one are not given up.
      */
     boolean boundToImages(MachineType type) {
-        return isFetchLate(type, SLOW_FETCH);
-    }
-
-    /**
-     * Whether most fetches on a type of machine are too late for some class that runs there. Room
-     * that just became free on some machine then is no room for it: it needs one that holds the
-     * image, and the more machines have room the more likely one of them does.
-     */
-    boolean areMostFetchesLate(MachineType type) {
-        return isFetchLate(type, QUICK_FETCH);
-    }
-
-    /**
-     * Whether some class that runs on a type of machine has to start in less than a fetch takes.
-     *
-     * @param slowness how long the fetch takes, as a multiple of the usual time
-     */
-    private boolean isFetchLate(MachineType type, double slowness) {
         for (Settings.Objective objective : settings.objectives()) {
             Submission job =
                     objective.kind().equals("wait") ? latest.get(objective.jobClass()) : null;
             if (job != null
                     && type.fits(job)
-                    && job.imageGb() * slowness > objective.withinS() * type.fetchGbPerS()) {
+                    && job.imageGb() * SLOW_FETCH > objective.withinS() * type.fetchGbPerS()) {
                 return true;
             }
         }
@@ -137,26 +101,28 @@
     }
 
     /**
-     * How many tasks of a class room has to stand ready for while a machine boots: those that
-     * arrive, with what chance adds on top. Jobs come at random, but each brings all of its tasks
-     * at once, so chance is as large as the jobs are.
-     *
-     * @param endsLeaveRoom whether tasks that end leave room for those that arrive; where they do
-     *     and did not count, room for a whole boot's arrivals stood empty beside it
+     * How many tasks of a class to expect while a machine boots, with what chance adds on top: jobs
+     * come at random, but each brings all of its tasks at once, so chance is as large as the jobs
+     * are.
      */
-    int expected(String jobClass, boolean endsLeaveRoom, double bootS, double now) {
-        if (!arrivals.containsKey(jobClass)) {
+    int expected(String jobClass, double bootS, double now) {
+        Deque<Arrival> jobs = arrivals.get(jobClass);
+        if (jobs == null) {
             return 1;
         }
         double windowSeconds = WINDOW_BOOTS * bootS;
-        double boots = Math.max(bootS, Math.min(windowSeconds, measuredSeconds(now))) / bootS;
-        RecentTasks arrived = recent(arrivals, jobClass);
-        RecentTasks departed = recent(departures, jobClass);
-        arrived.forgetBefore(now - windowSeconds);
-        departed.forgetBefore(now - windowSeconds);
-        double ends = endsLeaveRoom ? departed.tasks() : 0;
-        double growth = Math.max(0, arrived.tasks() - ends) / boots;
-        double chance = Math.sqrt(arrived.squares() / boots);
-        return (int) Math.ceil((growth + chance) * settings.operator().reserve());
+        while (!jobs.isEmpty() && jobs.peek().at() < now - windowSeconds) {
+            jobs.poll();
+        }
+        double over =
+                Math.max(
+                        bootS,
+                        Math.min(windowSeconds, now - startedAt - settings.workers().leaseS() / 2));
+        double mean = jobs.stream().mapToDouble(Arrival::tasks).sum() / over * bootS;
+        double variance =
+                jobs.stream().mapToDouble(job -> (double) job.tasks() * job.tasks()).sum()
+                        / over
+                        * bootS;
+        return (int) Math.ceil((mean + Math.sqrt(variance)) * settings.operator().reserve());
     }
 }
--- a/src/main/java/org/springmill/control/coordination/Headroom.java
+++ b/src/main/java/org/springmill/control/coordination/Headroom.java
@@ -35,22 +35,12 @@
         double bootSeconds = slowestBootSeconds();
         double failoverBudget = FAILOVER_COST_SHARE * fleetCost();
         for (Submission job : demand.urgent(bootSeconds)) {
-            int expected = demand.expected(job.jobClass(), doEndsLeaveRoom(job), bootSeconds, now);
+            int expected = demand.expected(job.jobClass(), bootSeconds, now);
             int failover = failoverReplicas(job, failoverBudget);
             reserve(job, expected + failover, packing);
         }
     }
 
-    /** Not where a task has to find a machine that holds its image. */
-    private boolean doEndsLeaveRoom(Submission job) {
-        for (MachineType type : fleet.catalog().all()) {
-            if (type.fits(job) && demand.areMostFetchesLate(type)) {
-                return false;
-            }
-        }
-        return true;
-    }
-
     /** Keeps room for tasks; in equal parts in all zones where their jobs have to be spread. */
     private void reserve(Submission job, int tasks, DemandPacking packing) {
         boolean spreadOverZones = job.spread() && job.zone() == null;
--- a/src/main/java/org/springmill/control/coordination/Leader.java
+++ b/src/main/java/org/springmill/control/coordination/Leader.java
@@ -19,7 +19,6 @@
 import org.springmill.protocol.StateMessages.Write;
 import org.springmill.protocol.UserMessages.Phase;
 import org.springmill.protocol.WorkerMessages;
-import org.springmill.protocol.WorkerMessages.Cause;
 import org.springmill.protocol.WorkerMessages.Command;
 import org.springmill.protocol.WorkerMessages.Report;
 import org.springmill.transport.HttpClient;
@@ -413,9 +412,6 @@
         }
         for (Attempt attempt : ended) {
             dispatcher.poke(attempt.machine());
-            if (attempt.cause() == Cause.DONE || !attempt.job().active()) {
-                demand.departed(attempt.job().spec(), loop.now());
-            }
             finishIfComplete(attempt.job());
             dropIfOver(attempt.job());
         }
--- a/src/test/java/org/springmill/control/coordination/PackingFixtures.java
+++ b/src/test/java/org/springmill/control/coordination/PackingFixtures.java
@@ -29,7 +29,6 @@
         private String zone;
         private boolean spread;
         private boolean spot;
-        private double imageGb = 1;
 
         private JobBuilder(int tasks) {
             this.tasks = tasks;
@@ -42,11 +41,6 @@
             return this;
         }
 
-        JobBuilder imageGb(double newImageGb) {
-            imageGb = newImageGb;
-            return this;
-        }
-
         JobBuilder zone(String only) {
             zone = only;
             return this;
@@ -74,7 +68,7 @@
                     gpus,
                     memoryGb,
                     "image",
-                    imageGb,
+                    1,
                     null,
                     zone,
                     false,
