Machines: one that later lists lack no longer counts as booting

Cause: a list that lags names machines which the leader before this one has deleted. The next leader took them for booting until 3.5 boots had passed, and rented nothing in their place. Ruled out: that the deletion failed; it was confirmed before the change of leader. Change: a machine that was listed and is missing from lists read longer after that than lists lag, half a lag to spare, is deleted, which for a machine that is gone does nothing. Test: MachineRentalTest, seen to fail without the change.

--- a/src/main/java/org/springmill/control/coordination/MachineHealth.java
+++ b/src/main/java/org/springmill/control/coordination/MachineHealth.java
@@ -110,6 +110,11 @@
         if (!partitionedLately && hasNeverReported(machine, now)) {
             return Optional.of(DeletionReason.NEVER_REPORTED);
         }
+        // A late list names machines that the leader before this one has deleted. They never
+        // report, and while they counted as booting nothing was rented in their place.
+        if (listing.provesGone(machine)) {
+            return Optional.of(DeletionReason.NO_LONGER_LISTED);
+        }
         if (isBootOverdue(machine, now)) {
             return Optional.of(DeletionReason.NEVER_BOOTED);
         }
--- a/src/test/java/org/springmill/control/coordination/MachineRentalTest.java
+++ b/src/test/java/org/springmill/control/coordination/MachineRentalTest.java
@@ -74,4 +74,26 @@
         assertEquals(2, cluster.cloud().machines().size(), "two of them do");
         assertEquals(4, IntStream.range(0, 8).map(i -> cluster.running("run-00060" + i)).sum());
     }
+
+    /**
+     * A machine is gone when the leader fails, and the next leader reads a list that still names
+     * it. While it counted as booting, for three and a half boots, nothing was rented in its place.
+     */
+    @Test
+    void machineOfALateListIsReplacedOnceLaterListsLackIt() {
+        for (int i = 0; i < 3; i++) {
+            submitService(0, "run-00070" + i, "blue", 1, 8);
+        }
+        cluster.run(3);
+        SimWorker idle =
+                machines().stream().filter(machine -> machine.running() == 0).findAny().get();
+        cluster.cloud().stopLists();
+        cluster.cloud().take(idle);
+        cluster.kill(cluster.leader());
+        cluster.run(10);
+        cluster.cloud().resumeLists();
+        submitService(cluster.leader(), OTHER, "blue", 1, 8);
+        cluster.run(45);
+        assertEquals(1, cluster.running(OTHER));
+    }
 }
--- a/src/test/java/org/springmill/sim/SimCloud.java
+++ b/src/test/java/org/springmill/sim/SimCloud.java
@@ -33,6 +33,9 @@
     private int named;
     private final Set<String> emptyZones = new HashSet<>();
 
+    /** What every list tells from the moment at which lists stood still; null if they do not. */
+    private ObjectNode lateList;
+
     SimCloud(SimulatedCluster cluster) {
         this.cluster = cluster;
     }
@@ -47,6 +50,16 @@
         emptyZones.clear();
     }
 
+    /** From now on lists tell what is true at this moment. */
+    public void stopLists() {
+        lateList = list();
+    }
+
+    /** Lists tell the truth again. */
+    public void resumeLists() {
+        lateList = null;
+    }
+
     /** A machine stops and is gone, as a spot machine is that was taken without notice. */
     public void take(SimWorker machine) {
         machines.remove(machine.name());
@@ -87,6 +100,11 @@
             }
             return SimState.reply(200, out);
         }
+        return SimState.reply(200, lateList == null ? list() : lateList);
+    }
+
+    private ObjectNode list() {
+        ObjectNode out = JSON.createObjectNode();
         ArrayNode stones = out.putArray("stones");
         machines.forEach(
                 (name, m) ->
@@ -98,7 +116,7 @@
                                 .put("loaner", m.spot())
                                 .put("phase", m.up() ? "running" : "starting")
                                 .put("heldS", 1.0));
-        return SimState.reply(200, out.put("truncated", false));
+        return out.put("truncated", false);
     }
 
     private Reply rent(JsonNode body) {
