--- a/src/test/java/org/springmill/control/storage/RecordGenerationsTest.java
+++ b/src/test/java/org/springmill/control/storage/RecordGenerationsTest.java
@@ -15,8 +15,8 @@
 import org.springmill.control.storage.RoundLog.Rebuilt;
 import org.springmill.protocol.BadMessageException;
 import org.springmill.protocol.Json;
-import org.springmill.protocol.OperatorSettings;
 import org.springmill.protocol.Settings;
+import org.springmill.protocol.SettingsFixtures;
 import org.springmill.protocol.StateMessages.Condition;
 import org.springmill.protocol.Submission;
 import org.springmill.protocol.TaskId;
@@ -68,24 +68,7 @@
     private static final String MARKS =
             "\"done\":[[\"run-000412\",\"5\"],[\"run-000412\",\"@16384:VVVVVVVVVVVVVVVVVVVVVVVVVVVVVVVVVQ\"]]";
 
-    private static final Settings SETTINGS =
-            new Settings(
-                    "n-0",
-                    "a",
-                    "10.0.0.0:8080",
-                    "10.0.0.0:8081",
-                    Map.of(),
-                    "cloud:1",
-                    "state:1",
-                    List.of("a"),
-                    1,
-                    List.of(),
-                    List.of(),
-                    new Settings.Workers(2, 14, 44),
-                    new Settings.State(120, 20, 8192, 12),
-                    new Settings.Cloud(4, 3),
-                    new Settings.Limits(0.2, 176, 700),
-                    OperatorSettings.DEFAULTS);
+    private static final Settings SETTINGS = SettingsFixtures.small();
 
     private static final Loop STILL =
             new Loop() {
--- a/src/test/java/org/springmill/protocol/SettingsFixtures.java
+++ b/src/test/java/org/springmill/protocol/SettingsFixtures.java
@@ -5,42 +5,49 @@
 
 /** Settings of a small deployment, for tests that need some and depend on few of them. */
 public final class SettingsFixtures {
+    private static final String ZONE = "a";
+    private static final Settings.Workers WORKERS = new Settings.Workers(2, 14, 44);
+    private static final Settings.Limits LIMITS = new Settings.Limits(0.2, 176, 700);
     private static final Settings.State STATE_LIMITS = new Settings.State(120, 20, 8192, 12);
 
     private SettingsFixtures() {}
 
-    /** Settings without objectives. */
+    /** Settings that are the same for every test. */
     public static Settings small() {
-        return with(STATE_LIMITS, List.of());
+        return settings(ZONE, WORKERS, STATE_LIMITS, LIMITS);
     }
 
     /** Settings with other limits of the state service. */
     public static Settings with(Settings.State stateLimits) {
-        return with(stateLimits, List.of());
+        return settings(ZONE, WORKERS, stateLimits, LIMITS);
     }
 
-    /** Settings with objectives. */
-    public static Settings with(List<Settings.Objective> objectives) {
-        return with(STATE_LIMITS, objectives);
+    /** Settings of a controller in a zone, with times of the workers and limits of its host. */
+    public static Settings with(String zone, Settings.Workers workers, Settings.Limits limits) {
+        return settings(zone, workers, STATE_LIMITS, limits);
     }
 
-    private static Settings with(Settings.State stateLimits, List<Settings.Objective> objectives) {
+    private static Settings settings(
+            String zone,
+            Settings.Workers workers,
+            Settings.State stateLimits,
+            Settings.Limits limits) {
         return new Settings(
                 "n-0",
-                "a",
+                zone,
                 "x:1",
                 "x:2",
                 Map.of("n-1", "x:3"),
                 "c:1",
                 "s:1",
-                List.of("a"),
+                List.of(ZONE),
                 1,
                 List.of(),
-                objectives,
-                new Settings.Workers(2, 14, 44),
+                List.of(),
+                workers,
                 stateLimits,
                 new Settings.Cloud(4, 3),
-                new Settings.Limits(0.2, 176, 700),
+                limits,
                 OperatorSettings.DEFAULTS);
     }
 }
--- a/src/test/java/org/springmill/protocol/SettingsWarningsTest.java
+++ b/src/test/java/org/springmill/protocol/SettingsWarningsTest.java
@@ -9,32 +9,6 @@
 
 /** Which settings are warned of, and with what remedy. */
 class SettingsWarningsTest {
-    private static Settings settings(
-            String zone,
-            double reportSeconds,
-            double leaseSeconds,
-            double cancelSeconds,
-            double memoryMb) {
-        Settings small = SettingsFixtures.small();
-        return new Settings(
-                small.node(),
-                zone,
-                small.listen(),
-                small.peerListen(),
-                small.peers(),
-                small.cloudAddress(),
-                small.stateAddress(),
-                small.zones(),
-                small.skewS(),
-                small.teams(),
-                small.objectives(),
-                new Settings.Workers(reportSeconds, leaseSeconds, cancelSeconds),
-                small.state(),
-                small.cloud(),
-                new Settings.Limits(0.1, memoryMb, 600),
-                small.operator());
-    }
-
     @ParameterizedTest(name = "{0}")
     @CsvSource({
         "settings that fit together,        a, 5, 26, 56, 148, ''",
@@ -53,7 +27,11 @@
             double cancelSeconds,
             double memoryMb,
             String expected) {
-        Settings settings = settings(zone, reportSeconds, leaseSeconds, cancelSeconds, memoryMb);
+        Settings settings =
+                SettingsFixtures.with(
+                        zone,
+                        new Settings.Workers(reportSeconds, leaseSeconds, cancelSeconds),
+                        new Settings.Limits(0.1, memoryMb, 600));
         List<String> warnings = SettingsWarnings.of(settings, 56);
         assertEquals(expected.isEmpty() ? 0 : 1, warnings.size(), () -> situation + warnings);
         for (String part : expected.isEmpty() ? List.<String>of() : List.of(expected.split(": "))) {
