--- a/src/main/java/org/springmill/control/coordination/Cancellations.java
+++ b/src/main/java/org/springmill/control/coordination/Cancellations.java
@@ -4,19 +4,27 @@
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.TreeMap;
 import org.springmill.protocol.PeerMessages.Cancellation;
 import org.springmill.protocol.PeerMessages.News;
 
 /**
- * Every cancellation that this process knows of, in the order in which it learned of them, so that
+ * The cancellations that this process knows of, in the order in which it learned of them, so that
  * others can be told what they lack. It may know of some whose job records it has not read: it was
- * told of them by another controller.
+ * told of them by another controller. One is forgotten when its job's record is moved to the
+ * history.
  */
 final class Cancellations {
     private static final int INDEX_BITS = 32;
 
-    private final List<Cancellation> learned = new ArrayList<>();
-    private final Map<String, Cancellation> byJob = new HashMap<>();
+    /**
+     * By the order in which they were learned. Indices count on when entries are dropped, so that
+     * bookmarks keep their meaning.
+     */
+    private final TreeMap<Long, Cancellation> learned = new TreeMap<>();
+
+    private final Map<String, Long> indexByJob = new HashMap<>();
+    private long nextIndex;
 
     /** Tells this process's bookmarks from those of an earlier one, which had another order. */
     private final long tag;
@@ -34,16 +42,34 @@
      * @return whether it was not known before
      */
     boolean add(Cancellation cancellation) {
-        if (byJob.putIfAbsent(cancellation.job(), cancellation) != null) {
+        if (indexByJob.putIfAbsent(cancellation.job(), nextIndex) != null) {
             return false;
         }
-        learned.add(cancellation);
+        learned.put(nextIndex, cancellation);
+        nextIndex++;
         return true;
     }
 
+    /**
+     * Forgets the cancellation of a job whose record has been moved: no task of it was left then,
+     * and none can start, so there is nobody who still has to learn of it.
+     */
+    void drop(String job) {
+        Long index = indexByJob.remove(job);
+        if (index != null) {
+            learned.remove(index);
+        }
+    }
+
+    /** How many are known. */
+    int size() {
+        return learned.size();
+    }
+
     /** The cancellation of a job; null if none is known. */
     Cancellation of(String job) {
-        return byJob.get(job);
+        Long index = indexByJob.get(job);
+        return index == null ? null : learned.get(index);
     }
 
     /**
@@ -59,14 +85,16 @@
             return News.NONE;
         }
         boolean mine = (known.bookmark() & -(1L << INDEX_BITS)) == tag;
-        int next = mine ? (int) Math.min(learned.size(), known.bookmark() & 0xffff_ffffL) : 0;
+        long from = mine ? Math.min(nextIndex, known.bookmark() & 0xffff_ffffL) : 0;
         List<Cancellation> lacked = new ArrayList<>();
-        while (next < learned.size() && lacked.size() < News.MOST) {
-            Cancellation cancellation = learned.get(next++);
-            if (cancellation.revision() > known.revision()) {
-                lacked.add(cancellation);
+        for (Map.Entry<Long, Cancellation> entry : learned.tailMap(from).entrySet()) {
+            if (lacked.size() == News.MOST) {
+                return new News(0, tag | entry.getKey(), false, informed, lacked);
+            }
+            if (entry.getValue().revision() > known.revision()) {
+                lacked.add(entry.getValue());
             }
         }
-        return new News(0, tag | next, next == learned.size(), informed, lacked);
+        return new News(0, tag | nextIndex, true, informed, lacked);
     }
 }
--- a/src/main/java/org/springmill/control/coordination/Controller.java
+++ b/src/main/java/org/springmill/control/coordination/Controller.java
@@ -1,9 +1,11 @@
 package org.springmill.control.coordination;
 
+import java.util.Optional;
 import java.util.SplittableRandom;
 import java.util.function.ToDoubleFunction;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
+import org.springmill.control.history.HistoryMembers;
 import org.springmill.control.storage.JobRecord;
 import org.springmill.control.storage.StateStore;
 import org.springmill.protocol.BadMessageException;
@@ -45,6 +47,9 @@
     private final RemoteProgress remoteProgress;
     private final UnservedWorkers unservedWorkers;
 
+    /** Empty unless the operators have switched the bounded history on. */
+    private final Optional<HistoryMembers> historyMembers;
+
     /** Null while this controller does not lead. */
     private Leader leader;
 
@@ -82,6 +87,11 @@
                         metrics,
                         settings.operator().pendingSubmissions());
 
+        historyMembers =
+                settings.operator().historyRetentionS().isPresent()
+                        ? Optional.of(historyMembers())
+                        : Optional.empty();
+
         directory.onChange(this::jobChanged);
         peers.onProgress(remoteProgress::receive);
         peers.onSilentRefusal(leadership::leaderRefuses);
@@ -89,6 +99,16 @@
         addGauges();
     }
 
+    private HistoryMembers historyMembers() {
+        return new HistoryMembers(
+                store,
+                loop,
+                settings.node(),
+                settings.peers().keySet(),
+                peers::anyWithoutHistory,
+                timing.leaseS());
+    }
+
     private void addGauges() {
         metrics.gauge("leading", leadership, l -> l.mayPlace() ? 1 : 0);
         metrics.gauge("state_service_up", store, s -> s.reachable() ? 1 : 0);
@@ -98,6 +118,9 @@
                 cancellationFreshness,
                 CancellationFreshness::age);
         metrics.gauge("jobs", directory, d -> d.all().size());
+        metrics.gauge("cancellations", directory, JobDirectory::cancellationCount);
+        metrics.gauge("moved_jobs_in_memory", directory, JobDirectory::movedInMemory);
+        addLeaderGauge("job_records_to_move", Leader::recordsToMove);
         addLeaderGauge("tasks_waiting", Leader::waitingTasks);
         addLeaderGauge("tasks_running", Leader::runningTasks);
         addLeaderGauge("machines_up", Leader::machinesUp);
@@ -122,6 +145,7 @@
         catalog.start();
         directory.start();
         cancellationFreshness.start();
+        historyMembers.ifPresent(HistoryMembers::register);
     }
 
     @Override
@@ -208,7 +232,8 @@
                 false,
                 0,
                 leadership.knownTerm(),
-                News.NONE);
+                News.NONE,
+                historyMembers.isPresent());
     }
 
     private void handleReport(Call call) {
@@ -280,7 +305,8 @@
                             directory,
                             peers,
                             catalog,
-                            metrics);
+                            metrics,
+                            historyMembers);
             leader.start();
         }
 
--- a/src/main/java/org/springmill/control/coordination/JobAnswers.java
+++ b/src/main/java/org/springmill/control/coordination/JobAnswers.java
@@ -1,6 +1,7 @@
 package org.springmill.control.coordination;
 
 import java.util.function.Function;
+import org.springmill.control.storage.EndedJob;
 import org.springmill.control.storage.JobRecord;
 import org.springmill.protocol.PeerMessages.JobProgress;
 import org.springmill.protocol.UserMessages;
@@ -12,6 +13,8 @@
     /** Users wait 5 s for an answer; by then they have to have one. */
     static final double ANSWER_WITHIN_S = 3.5;
 
+    static final String DEPENDENCY_BEING_READ = "the end of a job that it needs is being read";
+
     static final String STATE_SERVICE_SILENT = "the state service does not answer";
 
     private static final int RETRY_AFTER_S = 1;
@@ -44,6 +47,17 @@
         call.reply(200, UserMessages.progress(job.id(), phaseOf(job), done, running), 0);
     }
 
+    /** Answers 200 with the final phase of a job whose record has been moved to the history. */
+    static void phase(Call call, EndedJob job) {
+        call.reply(200, UserMessages.phase(job.id(), job.phase()), 0);
+    }
+
+    /** Answers 200 with the final phase and counts of a job whose record has been moved. */
+    static void progress(Call call, EndedJob job) {
+        int done = job.cancelled() ? 0 : job.tasks();
+        call.reply(200, UserMessages.progress(job.id(), job.phase(), done, 0), 0);
+    }
+
     private Phase phaseOf(JobRecord job) {
         if (job.phase().terminal()) {
             return job.phase();
--- a/src/main/java/org/springmill/control/coordination/JobDependencies.java
+++ b/src/main/java/org/springmill/control/coordination/JobDependencies.java
@@ -7,8 +7,10 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
+import java.util.function.Function;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
+import org.springmill.control.storage.EndedJob;
 import org.springmill.control.storage.JobRecord;
 import org.springmill.protocol.Submission;
 import org.springmill.protocol.UserMessages.Phase;
@@ -32,16 +34,19 @@
     private static final Logger LOG = LoggerFactory.getLogger(JobDependencies.class);
 
     private final Map<String, JobRecord> jobs;
-    private final Map<String, List<String>> dependents = new HashMap<>();
+    private final MovedDependencies moved;
+    private final Map<String, Set<String>> dependents = new HashMap<>();
 
     /** Ids of jobs whose cancellation is derived and not yet in their own records. */
     private final Set<String> pendingPersistence = new LinkedHashSet<>();
 
     /**
      * @param jobs the directory's records as they are in effect; kept up here
+     * @param kept the final state of a job whose record has been moved, if it is in memory
      */
-    JobDependencies(Map<String, JobRecord> jobs) {
+    JobDependencies(Map<String, JobRecord> jobs, Function<String, EndedJob> kept) {
         this.jobs = jobs;
+        moved = new MovedDependencies(kept);
     }
 
     /**
@@ -50,36 +55,105 @@
      */
     List<JobRecord> learn(JobRecord stored) {
         if (!jobs.containsKey(stored.id())) {
+            moved.release(stored.id());
             addToDependents(stored);
         }
         pendingPersistence.remove(stored.id());
         List<JobRecord> changed = new ArrayList<>();
         put(inEffect(stored), changed);
-        // What has changed is also the list of what is still to be looked at.
-        for (int next = 0; next < changed.size(); next++) {
-            if (changed.get(next).cancelled()) {
-                cancelDependents(changed.get(next), changed);
-            }
+        cancelDependentsOfAll(changed);
+        return changed;
+    }
+
+    /**
+     * Takes in the final state of a job whose record was moved before its dependents' were read.
+     * Returns those in which something may follow from it, as they now are in effect.
+     */
+    List<JobRecord> learnMoved(EndedJob job) {
+        if (jobs.containsKey(job.id()) || !dependents.containsKey(job.id())) {
+            return List.of();
+        }
+        moved.learn(job);
+        List<JobRecord> changed = new ArrayList<>();
+        if (job.cancelled()) {
+            cancelDependents(job.id(), job.endedAt(), changed);
+            cancelDependentsOfAll(changed);
+        } else {
+            dependents(job.id()).forEach(id -> changed.add(jobs.get(id)));
         }
         return changed;
     }
 
+    /**
+     * Forgets a job whose record has been moved. Records that name it keep its final state; if the
+     * record here is an old one, that state is still to be read.
+     */
+    void forget(String id) {
+        JobRecord job = jobs.remove(id);
+        if (job == null) {
+            return;
+        }
+        pendingPersistence.remove(id);
+        job.submission().dependencies().forEach(needed -> removeDependent(needed, id));
+        if (dependents.containsKey(id)) {
+            if (job.active()) {
+                moved.require(id);
+            } else {
+                moved.learn(EndedJob.of(job));
+            }
+        }
+    }
+
+    private void removeDependent(String needed, String id) {
+        Set<String> others = dependents.get(needed);
+        others.remove(id);
+        if (others.isEmpty()) {
+            dependents.remove(needed);
+            moved.release(needed);
+        }
+    }
+
     private void addToDependents(JobRecord job) {
         for (String needed : job.submission().dependencies()) {
-            dependents.computeIfAbsent(needed, id -> new ArrayList<>(2)).add(job.id());
+            dependents.computeIfAbsent(needed, id -> new LinkedHashSet<>(2)).add(job.id());
+            if (!jobs.containsKey(needed)) {
+                moved.require(needed);
+            }
         }
     }
 
     private JobRecord inEffect(JobRecord stored) {
-        JobRecord cause = stored.cancelled() ? null : cancelledDependency(stored.submission());
-        return cause == null ? stored : cancelledWith(stored, cause);
+        if (stored.cancelled()) {
+            return stored;
+        }
+        for (String id : stored.submission().dependencies()) {
+            JobRecord needed = jobs.get(id);
+            EndedJob gone = needed == null ? moved.of(id) : null;
+            if (needed != null && needed.cancelled()) {
+                return cancelledWith(stored, id, needed.endedAt());
+            }
+            if (gone != null && gone.cancelled()) {
+                return cancelledWith(stored, id, gone.endedAt());
+            }
+        }
+        return stored;
     }
 
-    private void cancelDependents(JobRecord cancelled, List<JobRecord> changed) {
-        for (String id : dependents(cancelled.id())) {
+    /** What has changed is also the list of what is still to be looked at. */
+    private void cancelDependentsOfAll(List<JobRecord> changed) {
+        for (int next = 0; next < changed.size(); next++) {
+            JobRecord job = changed.get(next);
+            if (job.cancelled()) {
+                cancelDependents(job.id(), job.endedAt(), changed);
+            }
+        }
+    }
+
+    private void cancelDependents(String cancelled, double endedAt, List<JobRecord> changed) {
+        for (String id : dependents(cancelled)) {
             JobRecord dependent = jobs.get(id);
             if (!dependent.cancelled()) {
-                put(cancelledWith(dependent, cancelled), changed);
+                put(cancelledWith(dependent, cancelled, endedAt), changed);
             }
         }
     }
@@ -89,33 +163,62 @@
         changed.add(job);
     }
 
-    private JobRecord cancelledWith(JobRecord job, JobRecord cause) {
+    private JobRecord cancelledWith(JobRecord job, String cause, double endedAt) {
         if (job.phase() == Phase.DONE) {
-            LOG.error("{} is done although {}, which it needs, is cancelled", job.id(), cause.id());
+            LOG.error("{} is done although {}, which it needs, is cancelled", job.id(), cause);
         } else {
             pendingPersistence.add(job.id());
         }
-        return job.ended(Phase.CANCELLED, cause.endedAt());
+        return job.ended(Phase.CANCELLED, endedAt);
     }
 
-    private JobRecord cancelledDependency(Submission submission) {
-        for (String id : submission.dependencies()) {
-            JobRecord needed = jobs.get(id);
-            if (needed != null && needed.cancelled()) {
-                return needed;
-            }
-        }
-        return null;
+    /** Jobs that a submission names and of which nothing is in memory. */
+    List<String> unknown(Submission submission) {
+        return submission.dependencies().stream()
+                .filter(id -> !jobs.containsKey(id) && moved.of(id) == null)
+                .toList();
+    }
+
+    /** Jobs whose final state some record in memory needs and that has to be read. */
+    Collection<String> missing() {
+        return moved.missing();
+    }
+
+    /**
+     * Whether the state in effect of a job is certain. While the final state of a moved dependency
+     * is being read, any job that waits for others may turn out to be cancelled.
+     */
+    boolean certain(JobRecord job) {
+        return !job.active() || job.submission().dependencies().isEmpty() || !moved.anyMissing();
+    }
+
+    /**
+     * Whether some job that names this one has not ended, going by the records that are stored: of
+     * those the record here is still needed.
+     */
+    boolean hasUnsettledDependents(String id) {
+        return dependents(id).stream().anyMatch(this::unsettled);
+    }
+
+    /** Whether a job has not ended or its end is not yet in its own record. */
+    boolean unsettled(String id) {
+        return jobs.get(id).active() || pendingPersistence.contains(id);
+    }
+
+    /** Entries that are held for dependencies of records in memory; bounded by those. */
+    int size() {
+        return dependents.size() + moved.size() + pendingPersistence.size();
     }
 
     /** Why a job cannot wait for its dependencies, as far as is known here; null if it can. */
     String refusal(Submission submission) {
         for (String id : submission.dependencies()) {
             JobRecord needed = jobs.get(id);
-            if (needed == null) {
+            EndedJob gone = needed == null ? moved.of(id) : null;
+            if (needed == null && gone == null) {
                 return "needs " + id + ", which was never accepted";
             }
-            if (needed.submission().service()) {
+            if (needed == null ? gone.service() : needed.submission().service()) {
                 return "needs " + id + ", a service, which is never done";
             }
         }
@@ -129,25 +232,33 @@
     boolean ready(Submission submission) {
         for (String id : submission.dependencies()) {
             JobRecord needed = jobs.get(id);
-            if (needed == null || needed.phase() != Phase.DONE) {
+            EndedJob gone = needed == null ? moved.of(id) : null;
+            boolean done = needed == null ? isDone(gone) : needed.phase() == Phase.DONE;
+            if (!done) {
                 return false;
             }
         }
         return true;
     }
 
+    private static boolean isDone(EndedJob job) {
+        return job != null && !job.cancelled();
+    }
+
     /** Revision at which a ready job became so: that of the last end among what it needs. */
     long readySince(Submission submission) {
         long since = 0;
         for (String id : submission.dependencies()) {
-            since = Math.max(since, jobs.get(id).version());
+            JobRecord needed = jobs.get(id);
+            long endedAt = needed == null ? moved.of(id).endRevision() : needed.version();
+            since = Math.max(since, endedAt);
         }
         return since;
     }
 
     /** Ids of the direct dependents of a job. */
     Collection<String> dependents(String id) {
-        return dependents.getOrDefault(id, List.of());
+        return dependents.getOrDefault(id, Set.of());
     }
 
     /** Jobs whose derived cancellation is to be written down, the longest known first. */
--- a/src/main/java/org/springmill/control/coordination/JobDirectory.java
+++ b/src/main/java/org/springmill/control/coordination/JobDirectory.java
@@ -4,9 +4,14 @@
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Set;
 import java.util.function.Consumer;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
+import org.springmill.control.history.EndedJobs;
+import org.springmill.control.history.EndedJobs.Lookup;
+import org.springmill.control.history.EndedJobs.Outcome;
+import org.springmill.control.storage.EndedJob;
 import org.springmill.control.storage.JobRecord;
 import org.springmill.control.storage.StateStore;
 import org.springmill.protocol.BadMessageException;
@@ -21,8 +26,8 @@
 import org.springmill.transport.Loop;
 
 /**
- * Every controller's copy of the job records, as they are in effect, and the cancellations that it
- * knows of.
+ * Every controller's copy of the records of live and recent jobs, as they are in effect, and the
+ * cancellations of such jobs. What has been moved to the history is read key by key.
  *
  * <p>The copy may lag, so an answer that could be outdated (a job unknown, or not ended) waits for
  * a {@link #barrier}.
@@ -31,15 +36,27 @@
     private static final Logger LOG = LoggerFactory.getLogger(JobDirectory.class);
 
     private final Map<String, JobRecord> jobs = new HashMap<>();
-    private final JobDependencies dependencies = new JobDependencies(jobs);
+    private final EndedJobs endedJobs;
+    private final JobDependencies dependencies;
     private final Cancellations cancellations;
+
+    /** Cancellations of which no record was read yet, by job; told by other controllers. */
+    private final Map<String, Cancellation> unread = new HashMap<>();
+
     private final JobRecordFeed feed;
+    private final Loop loop;
+    private final double retryLookupSeconds;
     private Consumer<JobRecord> listener = job -> {};
+    private boolean lookingUp;
 
     /**
      * @param tag tells this process from earlier ones of the same controller
      */
     JobDirectory(StateStore store, Loop loop, Timing timing, int tag) {
+        this.loop = loop;
+        retryLookupSeconds = timing.renewS();
+        endedJobs = new EndedJobs(store, loop);
+        dependencies = new JobDependencies(jobs, endedJobs::kept);
         cancellations = new Cancellations(tag);
         feed = new JobRecordFeed(store, loop, timing, new FeedListener());
     }
@@ -54,6 +71,22 @@
         public void loaded() {
             LOG.info("{} jobs known", jobs.size());
         }
+
+        @Override
+        public void readAgain(Set<String> keys, long revision) {
+            List<String> gone =
+                    jobs.values().stream()
+                            .filter(job -> job.version() <= revision && !keys.contains(job.key()))
+                            .map(JobRecord::id)
+                            .toList();
+            gone.forEach(JobDirectory.this::forget);
+        }
+
+        @Override
+        public void caughtUp() {
+            dropUnreadOfMovedJobs();
+            lookUpDependencies();
+        }
     }
 
     /** Begins to read the records, and to follow their changes. */
@@ -84,13 +117,125 @@
         return jobs.get(id);
     }
 
-    /** The records of all jobs ever accepted, in no order. */
+    /** The final state of a job whose record has been moved, if it is in memory; else null. */
+    EndedJob moved(String id) {
+        return endedJobs.kept(id);
+    }
+
+    /**
+     * Reads the final state of a job whose record may have been moved. A move is atomic: whoever
+     * finds no record after a {@link #barrier}, and nothing here either, asks for a job that was
+     * not accepted when the question came.
+     */
+    void findMoved(String id, Consumer<Lookup> done) {
+        endedJobs.find(id, done);
+    }
+
+    /**
+     * Reads the final states of jobs that have been moved, so that {@link #moved} has them. Stops
+     * at the first that was not moved, for whoever asks needs all of them.
+     *
+     * @param done takes false if one could not be read, or not in time; what was read is kept, so
+     *     that the same asked again gets further
+     */
+    void findAllMoved(List<String> ids, double until, Consumer<Boolean> done) {
+        if (ids.isEmpty()) {
+            done.accept(true);
+            return;
+        }
+        endedJobs.find(
+                ids.get(0),
+                lookup -> {
+                    boolean inTime = loop.now() < until;
+                    switch (lookup.outcome()) {
+                        case FOUND -> {
+                            if (inTime) {
+                                findAllMoved(ids.subList(1, ids.size()), until, done);
+                            } else {
+                                done.accept(false);
+                            }
+                        }
+                        case ABSENT -> done.accept(true);
+                        case UNAVAILABLE -> done.accept(false);
+                    }
+                });
+    }
+
+    /** Forgets a job whose record has been moved to the history. */
+    void forget(String id) {
+        JobRecord job = jobs.get(id);
+        if (job == null) {
+            return;
+        }
+        if (!job.active()) {
+            endedJobs.keep(EndedJob.of(job));
+        }
+        cancellations.drop(id);
+        dependencies.forget(id);
+        lookUpDependencies();
+    }
+
+    /** One at a time: there are hardly ever any, and a takeover must not wait for them. */
+    private void lookUpDependencies() {
+        if (lookingUp || !feed.loaded() || dependencies.missing().isEmpty()) {
+            return;
+        }
+        lookingUp = true;
+        String id = dependencies.missing().iterator().next();
+        endedJobs.find(id, lookup -> dependencyLookedUp(lookup));
+    }
+
+    private void dependencyLookedUp(Lookup lookup) {
+        if (lookup.outcome() == Outcome.FOUND) {
+            lookingUp = false;
+            dependencies.learnMoved(lookup.job()).forEach(listener);
+            lookUpDependencies();
+        } else {
+            // Its record may just not have been read yet; the feed brings it then.
+            loop.after(
+                    retryLookupSeconds,
+                    () -> {
+                        lookingUp = false;
+                        lookUpDependencies();
+                    });
+        }
+    }
+
+    /** Of jobs whose records were moved before this controller learned of their cancellations. */
+    private void dropUnreadOfMovedJobs() {
+        if (unread.isEmpty() || !feed.loaded()) {
+            return;
+        }
+        unread.values().removeIf(this::readOrMoved);
+    }
+
+    private boolean readOrMoved(Cancellation reported) {
+        if (jobs.containsKey(reported.job())) {
+            return true;
+        }
+        boolean moved = reported.revision() <= feed.cursor();
+        if (moved) {
+            cancellations.drop(reported.job());
+        }
+        return moved;
+    }
+
+    /** The records in memory: of jobs that have not ended, or not long ago, in no order. */
     Collection<JobRecord> all() {
         return jobs.values();
     }
 
     /** Takes in a record that this controller has just written or read itself. */
     void learn(JobRecord job) {
+        boolean seenByFeed = feed.loaded() && job.version() <= feed.cursor();
+        if (seenByFeed && !jobs.containsKey(job.id())) {
+            // The commit's answer came so late that the record has been moved meanwhile.
+            return;
+        }
+        learnStored(job);
+    }
+
+    private void learnStored(JobRecord job) {
         JobRecord known = jobs.get(job.id());
         if (known != null && known.version() >= job.version()) {
             return;
@@ -111,7 +256,14 @@
      */
     void learn(Cancellation reported) {
         JobRecord known = jobs.get(reported.job());
-        if (cancellations.add(reported) && known != null && known.active()) {
+        if (known == null && feed.loaded() && reported.revision() <= feed.cursor()) {
+            // Its record has been moved: nothing of it is left to be stopped.
+            return;
+        }
+        boolean isNew = cancellations.add(reported);
+        if (known == null) {
+            unread.put(reported.job(), reported);
+        } else if (isNew && known.active()) {
             learnEnd(known, reported);
         }
     }
@@ -120,6 +272,23 @@
         learn(active.ended(Phase.CANCELLED, reported.askedAt()).committed(reported.revision()));
     }
 
+    /**
+     * Whether users may be told the state of a job that is in memory; see {@link JobDependencies}.
+     */
+    boolean certain(JobRecord job) {
+        return dependencies.certain(job);
+    }
+
+    /** Cancellations in memory, with those whose records were not read yet. */
+    int cancellationCount() {
+        return cancellations.size() + unread.size();
+    }
+
+    /** Final states of moved jobs in memory. */
+    int movedInMemory() {
+        return endedJobs.keptCount();
+    }
+
     /** Whether a job is known to be cancelled, even if its record is not known yet. */
     boolean cancelled(String id) {
         return cancellations.of(id) != null;
@@ -161,10 +330,11 @@
 
     private void apply(Change change) {
         if (change.value() == null) {
+            forget(change.key().substring(JobRecord.PREFIX.length()));
             return;
         }
         try {
-            learn(JobRecord.decode(change.key(), change.value(), change.version()));
+            learnStored(JobRecord.decode(change.key(), change.value(), change.version()));
         } catch (BadMessageException e) {
             LOG.error("{} cannot be read: {}", change.key(), e.getMessage());
         }
--- a/src/main/java/org/springmill/control/coordination/JobQueryHandler.java
+++ b/src/main/java/org/springmill/control/coordination/JobQueryHandler.java
@@ -1,5 +1,7 @@
 package org.springmill.control.coordination;
 
+import org.springmill.control.history.EndedJobs.Lookup;
+import org.springmill.control.storage.EndedJob;
 import org.springmill.control.storage.JobRecord;
 import org.springmill.protocol.Submission;
 import org.springmill.transport.HttpHandler.Call;
@@ -24,11 +26,14 @@
             return;
         }
         JobRecord known = directory.get(id);
+        EndedJob moved = directory.moved(id);
         if (known != null && known.phase().terminal()) {
             answers.progress(call, known);
-            return;
+        } else if (known == null && moved != null) {
+            JobAnswers.progress(call, moved);
+        } else {
+            directory.barrier(current -> answer(call, id, current));
         }
-        directory.barrier(current -> answer(call, id, current));
     }
 
     private void answer(Call call, String id, boolean current) {
@@ -36,9 +41,19 @@
         if (!current) {
             JobAnswers.unavailable(call, JobAnswers.STATE_SERVICE_SILENT);
         } else if (job == null) {
-            JobAnswers.notFound(call);
-        } else {
+            directory.findMoved(id, lookup -> answerMoved(call, lookup));
+        } else if (directory.certain(job)) {
             answers.progress(call, job);
+        } else {
+            JobAnswers.unavailable(call, JobAnswers.DEPENDENCY_BEING_READ);
+        }
+    }
+
+    private static void answerMoved(Call call, Lookup lookup) {
+        switch (lookup.outcome()) {
+            case FOUND -> JobAnswers.progress(call, lookup.job());
+            case ABSENT -> JobAnswers.notFound(call);
+            case UNAVAILABLE -> JobAnswers.unavailable(call, JobAnswers.STATE_SERVICE_SILENT);
         }
     }
 }
--- a/src/main/java/org/springmill/control/coordination/JobRecordFeed.java
+++ b/src/main/java/org/springmill/control/coordination/JobRecordFeed.java
@@ -2,7 +2,9 @@
 
 import java.util.ArrayList;
 import java.util.List;
+import java.util.Set;
 import java.util.function.Consumer;
+import java.util.stream.Collectors;
 import org.springmill.control.storage.JobRecord;
 import org.springmill.control.storage.StateStore;
 import org.springmill.control.storage.StateStore.ChangesResult;
@@ -41,6 +43,18 @@
 
         /** All records were read for the first time. */
         void loaded();
+
+        /**
+         * All records were read again, since too many changes had been missed. What was passed on
+         * before and is not among them has been moved.
+         *
+         * @param keys of the records that were there
+         * @param revision of which the read is complete
+         */
+        void readAgain(Set<String> keys, long revision);
+
+        /** Every change up to the cursor was passed on. */
+        void caughtUp();
     }
 
     JobRecordFeed(StateStore store, Loop loop, Timing timing, Listener listener) {
@@ -72,10 +86,14 @@
         }
         cursor = Math.max(cursor, page.revision());
         currentAt = Math.max(currentAt, askedAt);
-        if (!loaded) {
+        if (loaded) {
+            Set<String> keys = page.entries().stream().map(Entry::key).collect(Collectors.toSet());
+            listener.readAgain(keys, page.revision());
+        } else {
             loaded = true;
             listener.loaded();
         }
+        listener.caughtUp();
     }
 
     /** Whether all records were read once. */
@@ -151,7 +169,14 @@
     }
 
     private void take(Changes changes) {
-        changes.changes().forEach(listener::changed);
+        for (Change change : changes.changes()) {
+            // The watch and barriers read the same changes. One that is passed on again after a
+            // later one of the same key would bring back a record that has been moved.
+            if (change.version() > cursor) {
+                listener.changed(change);
+            }
+        }
         cursor = Math.max(cursor, changes.revision());
+        listener.caughtUp();
     }
 }
--- a/src/main/java/org/springmill/control/coordination/Leader.java
+++ b/src/main/java/org/springmill/control/coordination/Leader.java
@@ -4,8 +4,11 @@
 import java.util.ArrayList;
 import java.util.BitSet;
 import java.util.List;
+import java.util.Optional;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
+import org.springmill.control.history.HistoryMembers;
+import org.springmill.control.history.HistoryMover;
 import org.springmill.control.storage.Claim;
 import org.springmill.control.storage.ImageLocations;
 import org.springmill.control.storage.JobRecord;
@@ -50,6 +53,10 @@
     private final Demand demand;
     private final CancellationPersister cancellations;
     private final DependencyPriority order;
+
+    /** Empty unless the operators have switched the bounded history on. */
+    private final Optional<HistoryMover> history;
+
     private JsonNode lastNotes;
     private double tickedAt;
     private boolean rebuilt;
@@ -65,7 +72,8 @@
             JobDirectory directory,
             Peers peers,
             MachineTypeCatalog catalog,
-            Metrics metrics) {
+            Metrics metrics,
+            Optional<HistoryMembers> historyMembers) {
         this.store = store;
         this.loop = loop;
         this.settings = settings;
@@ -111,13 +119,25 @@
         demand = new Demand(settings, loop.now());
         order = new DependencyPriority(directory, clusterState);
         cancellations = new CancellationPersister(store, directory, leadership, loop);
+        history = historyMembers.map(members -> historyMover(members, metrics));
         rentals =
                 new Rentals(
                         fleet, placement, demand, peers, http, loop, settings, timing, this::wake);
     }
 
+    private HistoryMover historyMover(HistoryMembers members, Metrics metrics) {
+        return new HistoryMover(
+                store,
+                loop,
+                members,
+                new SettledJobs(directory, clusterState, leadership, metrics),
+                settings.operator().historyRetentionS().getAsDouble(),
+                timing.leaseS());
+    }
+
     void close() {
         closed = true;
+        history.ifPresent(HistoryMover::close);
         log.close();
         dispatcher.close();
         rounds.close();
@@ -159,6 +179,8 @@
         for (JobRecord record : directory.all()) {
             if (record.active()) {
                 active.add(record);
+            } else {
+                history.ifPresent(mover -> mover.ended(record));
             }
         }
         active.sort(java.util.Comparator.comparingLong(JobRecord::version));
@@ -172,6 +194,11 @@
         }
         for (Claim claim : found.live()) {
             Job known = clusterState.job(claim.task().job());
+            if (known == null && directory.get(claim.task().job()) == null) {
+                // A record is moved only once no claim of its job is left.
+                LOG.error("claim of {} although its record has been moved", claim.task());
+                continue;
+            }
             Job job = known == null ? endedJob(claim.task().job()) : known;
             Machine machine = fleet.machine(claim.machine());
             Attempt attempt = new Attempt(claim, job, machine, now);
@@ -202,6 +229,7 @@
         tick();
         broadcast();
         cancellations.run();
+        history.ifPresent(HistoryMover::start);
         store.get(
                 ImageLocations.KEY,
                 read -> {
@@ -349,6 +377,9 @@
         if (record.phase() == Phase.DONE) {
             releaseDependents(record);
         }
+        if (!record.active()) {
+            history.ifPresent(mover -> mover.ended(record));
+        }
         Job job = clusterState.job(record.id());
         if (job == null) {
             if (record.active()) {
@@ -356,6 +387,10 @@
             }
             return;
         }
+        if (record.active()) {
+            // What it waited for turned out to be done long ago.
+            releaseIfReady(job);
+        }
         if (!record.active() && job.active()) {
             job.end(record.phase(), record.version(), endedSince(record));
             order.changed(job);
@@ -390,16 +425,20 @@
     private void releaseDependents(JobRecord done) {
         for (String id : directory.dependencies().dependents(done.id())) {
             Job dependent = clusterState.job(id);
-            if (dependent != null
-                    && dependent.waitsForOthers()
-                    && directory.dependencies().ready(dependent.spec())) {
-                dependent.becomeEligible(done.version());
-                demand.arrived(dependent.spec(), loop.now(), true);
-                rounds.request();
+            if (dependent != null) {
+                releaseIfReady(dependent);
             }
         }
     }
 
+    private void releaseIfReady(Job job) {
+        if (job.waitsForOthers() && directory.dependencies().ready(job.spec())) {
+            job.becomeEligible(directory.dependencies().readySince(job.spec()));
+            demand.arrived(job.spec(), loop.now(), true);
+            rounds.request();
+        }
+    }
+
     private void dropIfOver(Job job) {
         if (!job.active() && job.liveCount() == 0) {
             clusterState.dropJob(job);
@@ -523,6 +562,10 @@
         return fleet.machines().stream().filter(m -> m.state() == Machine.State.UP).count();
     }
 
+    int recordsToMove() {
+        return history.map(HistoryMover::waiting).orElse(0);
+    }
+
     int roundsKept() {
         return log.kept();
     }
--- a/src/main/java/org/springmill/control/coordination/Metrics.java
+++ b/src/main/java/org/springmill/control/coordination/Metrics.java
@@ -49,6 +49,7 @@
     private final Counter claimsCommitted;
     private final Counter attemptsEnded;
     private final Counter attemptsLost;
+    private final Counter recordsMoved;
     private double lastReadAt = Double.NEGATIVE_INFINITY;
 
     Metrics(Loop loop) {
@@ -61,6 +62,7 @@
         claimsCommitted = counter("claims_committed");
         attemptsEnded = counter("attempts_ended");
         attemptsLost = counter("attempts_lost");
+        recordsMoved = counter("job_records_moved");
     }
 
     /** Adds a gauge that reads its value from an object whenever the metrics are read. */
@@ -95,6 +97,11 @@
         attemptsLost.increment();
     }
 
+    /** Records that the record of an ended job was moved to the history. */
+    void recordMoved() {
+        recordsMoved.increment();
+    }
+
     /** All series as text, one to a line; null if they were read less than a second ago. */
     byte[] read() {
         if (loop.now() - lastReadAt < MIN_READ_INTERVAL_SECONDS) {
--- /dev/null
+++ b/src/main/java/org/springmill/control/coordination/MovedDependencies.java
@@ -0,0 +1,70 @@
+package org.springmill.control.coordination;
+
+import java.util.Collection;
+import java.util.HashMap;
+import java.util.LinkedHashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import java.util.function.Function;
+import org.springmill.control.storage.EndedJob;
+
+/**
+ * Final states of jobs whose records have been moved to the history while records in memory still
+ * name them as dependencies. Until the state of such a job has been read, nothing is concluded from
+ * it: the jobs that name it are neither eligible nor cancelled.
+ */
+final class MovedDependencies {
+    private final Function<String, EndedJob> kept;
+    private final Map<String, EndedJob> found = new HashMap<>();
+    private final Set<String> missing = new LinkedHashSet<>();
+
+    /**
+     * @param kept the final state of a moved job if it is in memory anyway, else null
+     */
+    MovedDependencies(Function<String, EndedJob> kept) {
+        this.kept = kept;
+    }
+
+    /** The final state of a moved job, as far as it is known; else null. */
+    EndedJob of(String id) {
+        EndedJob needed = found.get(id);
+        return needed != null ? needed : kept.apply(id);
+    }
+
+    /** A record in memory names a job that has none there. */
+    void require(String id) {
+        EndedJob known = of(id);
+        if (known == null) {
+            missing.add(id);
+        } else {
+            found.put(id, known);
+        }
+    }
+
+    /** Takes in a final state that a record in memory needs. */
+    void learn(EndedJob job) {
+        missing.remove(job.id());
+        found.put(job.id(), job);
+    }
+
+    /** The job has a record in memory, or no record in memory names it any more. */
+    void release(String id) {
+        missing.remove(id);
+        found.remove(id);
+    }
+
+    /** Jobs whose final state has to be read, the first one needed first. */
+    Collection<String> missing() {
+        return List.copyOf(missing);
+    }
+
+    boolean anyMissing() {
+        return !missing.isEmpty();
+    }
+
+    /** Final states held for records in memory. */
+    int size() {
+        return found.size() + missing.size();
+    }
+}
--- a/src/main/java/org/springmill/control/coordination/PeerConfirmations.java
+++ b/src/main/java/org/springmill/control/coordination/PeerConfirmations.java
@@ -111,6 +111,11 @@
                 .anyMatch(answer -> isRecent(answer) && answer.status().stateReachable());
     }
 
+    /** Whether a peer's latest answer, however old, lacks that it takes part in the history. */
+    boolean anyWithoutHistory() {
+        return answers.values().stream().anyMatch(answer -> !answer.status().keepsHistory());
+    }
+
     /** Whether a peer lately said that it leads. */
     boolean anyLeads() {
         return answers.values().stream()
--- a/src/main/java/org/springmill/control/coordination/Peers.java
+++ b/src/main/java/org/springmill/control/coordination/Peers.java
@@ -172,7 +172,8 @@
                 leaderSilent(),
                 millisecondsSinceConfirmation(),
                 Math.max(highestTerm, status.term()),
-                news);
+                news,
+                status.keepsHistory());
     }
 
     /** Negative while this controller may go on keeping leases for so long. */
@@ -298,6 +299,11 @@
         return confirmations.anyReachesState();
     }
 
+    /** See {@link PeerConfirmations#anyWithoutHistory}. */
+    boolean anyWithoutHistory() {
+        return confirmations.anyWithoutHistory();
+    }
+
     /** See {@link PeerConfirmations#anyLeads}. */
     boolean anyLeads() {
         return confirmations.anyLeads();
--- a/src/main/java/org/springmill/control/coordination/RemoteProgress.java
+++ b/src/main/java/org/springmill/control/coordination/RemoteProgress.java
@@ -1,7 +1,9 @@
 package org.springmill.control.coordination;
 
 import java.util.HashMap;
+import java.util.HashSet;
 import java.util.Map;
+import java.util.Set;
 import org.springmill.protocol.PeerMessages.JobProgress;
 import org.springmill.protocol.PeerMessages.Progress;
 import org.springmill.transport.Loop;
@@ -16,8 +18,14 @@
 
     private final Loop loop;
     private final double maxAgeSeconds;
-    private Map<String, JobProgress> progressByJob = new HashMap<>();
-    private double receivedAt;
+
+    /** What was broadcast since {@link #currentSince}. */
+    private Map<String, JobProgress> current = new HashMap<>();
+
+    /** What was broadcast in the interval before; a job in neither has ended or is unknown. */
+    private Map<String, JobProgress> previous = new HashMap<>();
+
+    private double currentSince;
 
     RemoteProgress(Loop loop, Timing timing) {
         this.loop = loop;
@@ -26,15 +34,25 @@
 
     /** Takes in a broadcast; a broadcast may be spread over several messages. */
     void receive(Progress received) {
-        if (loop.now() - receivedAt > maxAgeSeconds) {
-            progressByJob = new HashMap<>();
+        double age = loop.now() - currentSince;
+        if (age > maxAgeSeconds) {
+            previous = age > 2 * maxAgeSeconds ? new HashMap<>() : current;
+            current = new HashMap<>();
+            currentSince = loop.now();
         }
-        receivedAt = loop.now();
-        received.jobs().forEach(progress -> progressByJob.put(progress.job(), progress));
+        received.jobs().forEach(progress -> current.put(progress.job(), progress));
+    }
+
+    /** Jobs of which a progress is held; those of the last broadcasts, however many came before. */
+    int size() {
+        Set<String> jobs = new HashSet<>(current.keySet());
+        jobs.addAll(previous.keySet());
+        return jobs.size();
     }
 
     /** The progress of a job, or null if none was broadcast. */
     JobProgress of(String jobId) {
-        return progressByJob.get(jobId);
+        JobProgress latest = current.get(jobId);
+        return latest != null ? latest : previous.get(jobId);
     }
 }
--- /dev/null
+++ b/src/main/java/org/springmill/control/coordination/SettledJobs.java
@@ -0,0 +1,62 @@
+package org.springmill.control.coordination;
+
+import org.springmill.control.history.HistoryMover;
+import org.springmill.control.storage.EndedJob;
+import org.springmill.control.storage.JobRecord;
+import org.springmill.protocol.StateMessages.Condition;
+
+/**
+ * What a leader knows of ended jobs: whether anything still needs their records, so that they may
+ * not be moved to the history yet.
+ */
+final class SettledJobs implements HistoryMover.Jobs {
+    private final JobDirectory directory;
+    private final ClusterState clusterState;
+    private final Leadership leadership;
+    private final Metrics metrics;
+
+    SettledJobs(
+            JobDirectory directory,
+            ClusterState clusterState,
+            Leadership leadership,
+            Metrics metrics) {
+        this.directory = directory;
+        this.clusterState = clusterState;
+        this.leadership = leadership;
+        this.metrics = metrics;
+    }
+
+    @Override
+    public Condition leadership() {
+        return leadership.condition();
+    }
+
+    @Override
+    public boolean mayMove() {
+        return leadership.mayPlace();
+    }
+
+    @Override
+    public JobRecord record(String id) {
+        return directory.get(id);
+    }
+
+    /**
+     * The cluster state holds an ended job for as long as an attempt of it has not been proven gone
+     * and that been committed; a later leader needs the record to count what such attempts use.
+     */
+    @Override
+    public boolean settled(JobRecord record) {
+        String id = record.id();
+        boolean attemptsMayBeLeft = clusterState.job(id) != null;
+        return !attemptsMayBeLeft
+                && !directory.dependencies().unsettled(id)
+                && !directory.dependencies().hasUnsettledDependents(id);
+    }
+
+    @Override
+    public void moved(EndedJob job) {
+        directory.forget(job.id());
+        metrics.recordMoved();
+    }
+}
--- a/src/main/java/org/springmill/control/coordination/SubmissionHandler.java
+++ b/src/main/java/org/springmill/control/coordination/SubmissionHandler.java
@@ -3,6 +3,9 @@
 import java.util.List;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
+import org.springmill.control.history.EndedJobs;
+import org.springmill.control.history.EndedJobs.Lookup;
+import org.springmill.control.storage.EndedJob;
 import org.springmill.control.storage.JobRecord;
 import org.springmill.control.storage.StateStore;
 import org.springmill.control.storage.StateStore.CommitResult;
@@ -74,7 +77,7 @@
     }
 
     private void submit(Call call, Submission submission) {
-        if (directory.get(submission.id()) != null) {
+        if (directory.get(submission.id()) != null || directory.moved(submission.id()) != null) {
             answerKnown(call, submission.id());
             return;
         }
@@ -82,14 +85,13 @@
             JobAnswers.unavailable(call, "not ready yet");
             return;
         }
-        String impossible = catalog.impossible(submission);
-        if (impossible != null) {
-            JobAnswers.impossible(call, impossible);
-            return;
-        }
         JobRecord job = JobRecord.accepted(submission, loop.timeOfDay());
         Pending submitted = new Pending(call, job, loop.now());
-        if (refusal(job) == null) {
+        String impossible = catalog.impossible(submission);
+        if (impossible != null) {
+            // It may have been accepted long ago, under other limits or machine types.
+            refuseAfterBarrier(submitted, impossible);
+        } else if (refusal(job) == null) {
             accept(submitted);
         } else {
             decideAfterBarrier(submitted);
@@ -115,15 +117,27 @@
      * repeated submission, may just have been accepted by another controller.
      */
     private void decideAfterBarrier(Pending submitted) {
-        directory.barrier(
-                current -> {
-                    String refusal = refusal(submitted.job());
-                    if (refusal == null && current && unknown(submitted)) {
-                        accept(submitted);
-                    } else {
-                        refuse(submitted, current, refusal);
-                    }
-                });
+        directory.barrier(current -> readMovedDependencies(submitted, current));
+    }
+
+    /** What the job names may have ended so long ago that its record has been moved. */
+    private void readMovedDependencies(Pending submitted, boolean current) {
+        List<String> unknown = directory.dependencies().unknown(submitted.job().submission());
+        if (current && unknown(submitted)) {
+            double until = submitted.since() + JobAnswers.ANSWER_WITHIN_S - timing.stateTimeoutS();
+            directory.findAllMoved(unknown, until, read -> decide(submitted, read));
+        } else {
+            decide(submitted, current);
+        }
+    }
+
+    private void decide(Pending submitted, boolean current) {
+        String refusal = refusal(submitted.job());
+        if (refusal == null && current && unknown(submitted)) {
+            accept(submitted);
+        } else {
+            refuse(submitted, current, refusal);
+        }
     }
 
     /** Refuses a job for a given reason, unless it turns out to have been accepted before. */
@@ -137,12 +151,23 @@
         } else if (!current) {
             JobAnswers.unavailable(submitted.call(), JobAnswers.STATE_SERVICE_SILENT);
         } else {
-            JobAnswers.impossible(submitted.call(), reason);
+            String id = submitted.job().id();
+            directory.findMoved(id, lookup -> refuse(submitted.call(), lookup, reason));
+        }
+    }
+
+    /** A repeated submission of an accepted job is never refused, however long ago it ended. */
+    private static void refuse(Call call, Lookup lookup, String reason) {
+        switch (lookup.outcome()) {
+            case FOUND -> JobAnswers.phase(call, lookup.job());
+            case ABSENT -> JobAnswers.impossible(call, reason);
+            case UNAVAILABLE -> JobAnswers.unavailable(call, JobAnswers.STATE_SERVICE_SILENT);
         }
     }
 
     private boolean unknown(Pending submitted) {
-        return directory.get(submitted.job().id()) == null;
+        String id = submitted.job().id();
+        return directory.get(id) == null && directory.moved(id) == null;
     }
 
     private void accept(Pending submitted) {
@@ -156,8 +181,9 @@
 
     private void create(Pending submitted) {
         JobRecord job = submitted.job();
+        // A job whose record has been moved was accepted before, and has ended.
         store.commit(
-                List.of(new Condition(job.key(), 0)),
+                List.of(new Condition(job.key(), 0), new Condition(EndedJob.key(job.id()), 0)),
                 List.of(Write.put(job.key(), job.encode())),
                 result -> answered(submitted, result));
     }
@@ -201,6 +227,10 @@
                 job.submission().team());
         // Cancelled already if it names a cancelled one.
         JobRecord inEffect = directory.get(job.id());
+        if (inEffect == null || !directory.certain(inEffect)) {
+            answerKnown(submitted.call(), job.id());
+            return;
+        }
         byte[] answer = UserMessages.phase(job.id(), inEffect.phase());
         submitted.call().reply(201, answer, 0);
     }
@@ -216,19 +246,34 @@
     /** Answers for a job that exists, with a state no older than the question. */
     private void answerKnown(Call call, String id) {
         JobRecord known = directory.get(id);
+        EndedJob moved = directory.moved(id);
         if (known != null && known.phase().terminal()) {
             answers.phase(call, known);
+        } else if (known == null && moved != null) {
+            JobAnswers.phase(call, moved);
         } else {
             directory.barrier(current -> answerKnown(call, id, current));
         }
     }
 
     private void answerKnown(Call call, String id, boolean current) {
-        JobRecord job = current ? directory.get(id) : null;
-        if (job == null) {
+        JobRecord job = directory.get(id);
+        if (!current) {
             JobAnswers.unavailable(call, JobAnswers.STATE_SERVICE_SILENT);
-        } else {
+        } else if (job == null) {
+            directory.findMoved(id, lookup -> answerMoved(call, lookup));
+        } else if (directory.certain(job)) {
             answers.phase(call, job);
+        } else {
+            JobAnswers.unavailable(call, JobAnswers.DEPENDENCY_BEING_READ);
+        }
+    }
+
+    private static void answerMoved(Call call, Lookup lookup) {
+        if (lookup.outcome() == EndedJobs.Outcome.FOUND) {
+            JobAnswers.phase(call, lookup.job());
+        } else {
+            JobAnswers.unavailable(call, JobAnswers.STATE_SERVICE_SILENT);
         }
     }
 }
--- a/src/main/java/org/springmill/control/coordination/WithdrawalHandler.java
+++ b/src/main/java/org/springmill/control/coordination/WithdrawalHandler.java
@@ -4,6 +4,7 @@
 import java.util.function.Consumer;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
+import org.springmill.control.history.EndedJobs.Lookup;
 import org.springmill.control.storage.JobRecord;
 import org.springmill.control.storage.StateStore;
 import org.springmill.control.storage.StateStore.CommitResult;
@@ -69,13 +70,22 @@
                     if (job != null) {
                         cancel(call, job, answerBy);
                     } else if (current) {
-                        JobAnswers.notFound(call);
+                        directory.findMoved(id, lookup -> answerMoved(call, lookup));
                     } else {
                         JobAnswers.unavailable(call, JobAnswers.STATE_SERVICE_SILENT);
                     }
                 });
     }
 
+    /** A job that was moved is over: its cancellation, if it was cancelled, is known to all. */
+    private static void answerMoved(Call call, Lookup lookup) {
+        switch (lookup.outcome()) {
+            case FOUND -> JobAnswers.phase(call, lookup.job());
+            case ABSENT -> JobAnswers.notFound(call);
+            case UNAVAILABLE -> JobAnswers.unavailable(call, JobAnswers.STATE_SERVICE_SILENT);
+        }
+    }
+
     private void cancel(Call call, JobRecord job, double answerBy) {
         if (job.phase().terminal()) {
             answerEnded(call, job);
--- /dev/null
+++ b/src/main/java/org/springmill/control/history/HistoryMembers.java
@@ -0,0 +1,115 @@
+package org.springmill.control.history;
+
+import java.util.Set;
+import java.util.function.BooleanSupplier;
+import java.util.stream.Collectors;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
+import org.springmill.control.storage.StateStore;
+import org.springmill.control.storage.StateStore.CommitResult;
+import org.springmill.control.storage.StateStore.Outcome;
+import org.springmill.control.storage.StateStore.ReadResult;
+import org.springmill.protocol.Json;
+import org.springmill.protocol.StateMessages.Page;
+import org.springmill.protocol.StateMessages.Write;
+import org.springmill.transport.Loop;
+
+/**
+ * Which controllers take part in the history. A version that does not know of moved jobs accepts
+ * them anew, so records may be moved only once every controller is known to look at both places. A
+ * controller that runs with the history switched on registers that in the state service, where it
+ * stays while the controller is down, and says the same on the link between controllers. A process
+ * of an earlier version says nothing there, and stops the moves of whoever hears it.
+ */
+public final class HistoryMembers {
+    private static final Logger LOG = LoggerFactory.getLogger(HistoryMembers.class);
+    private static final String PREFIX = "history-member/";
+    private static final int FORMAT = 1;
+
+    private final StateStore store;
+    private final Loop loop;
+    private final String node;
+    private final Set<String> nodes;
+    private final BooleanSupplier opposed;
+    private final double retryS;
+    private boolean allRegistered;
+    private boolean wasOpposed;
+
+    /**
+     * @param node this controller
+     * @param others names of all other controllers
+     * @param opposed whether some controller was last heard without taking part
+     * @param retryS after which registration and check are tried again
+     */
+    public HistoryMembers(
+            StateStore store,
+            Loop loop,
+            String node,
+            Set<String> others,
+            BooleanSupplier opposed,
+            double retryS) {
+        this.store = store;
+        this.loop = loop;
+        this.node = node;
+        this.opposed = opposed;
+        this.retryS = retryS;
+        nodes = others.stream().map(HistoryMembers::key).collect(Collectors.toSet());
+    }
+
+    private static String key(String node) {
+        return PREFIX + node;
+    }
+
+    /** Registers this controller, unless an earlier process of it did. */
+    public void register() {
+        store.get(key(node), this::ownRead);
+    }
+
+    private void ownRead(ReadResult read) {
+        if (!read.served()) {
+            loop.after(retryS, this::register);
+        } else if (read.entry() == null) {
+            Write write = Write.put(key(node), Json.newObject().put("v", FORMAT));
+            store.commit(java.util.List.of(), java.util.List.of(write), this::registered);
+        } else {
+            checkOthers();
+        }
+    }
+
+    private void registered(CommitResult result) {
+        if (result.outcome() == Outcome.COMMITTED) {
+            checkOthers();
+        } else {
+            loop.after(retryS, this::register);
+        }
+    }
+
+    private void checkOthers() {
+        store.list(PREFIX, this::othersRead);
+    }
+
+    private void othersRead(Page page) {
+        if (page != null) {
+            Set<String> found =
+                    page.entries().stream().map(entry -> entry.key()).collect(Collectors.toSet());
+            allRegistered = found.containsAll(nodes);
+        }
+        if (allRegistered) {
+            LOG.info("every controller keeps the bounded history: records may be moved");
+        } else {
+            loop.after(retryS, this::checkOthers);
+        }
+    }
+
+    /** Whether records may be moved now, as far as is known here. */
+    public boolean allTakePart() {
+        boolean isOpposed = opposed.getAsBoolean();
+        if (isOpposed && !wasOpposed && allRegistered) {
+            LOG.error(
+                    "a controller runs without the bounded history although records may have been"
+                            + " moved: it must be restarted with it at once");
+        }
+        wasOpposed = isOpposed;
+        return allRegistered && !isOpposed;
+    }
+}
--- a/src/main/java/org/springmill/protocol/OperatorSettings.java
+++ b/src/main/java/org/springmill/protocol/OperatorSettings.java
@@ -1,5 +1,7 @@
 package org.springmill.protocol;
 
+import java.util.OptionalDouble;
+
 /**
  * What operators may set beside the platform's settings; docs/operations.md describes each. Those
  * of rentals are ratios, so that one file serves every deployment.
@@ -9,10 +11,17 @@
  * @param reserve factor on the headroom for classes that must start sooner than a machine boots
  * @param pendingSubmissions how many submissions may wait for the state service before users are
  *     told to come back
+ * @param historyRetentionS how long after its end a job's record stays among those that every
+ *     controller holds in memory; empty if records are never moved to the history
  */
 public record OperatorSettings(
-        double idleBoots, double bootPatience, double reserve, int pendingSubmissions) {
+        double idleBoots,
+        double bootPatience,
+        double reserve,
+        int pendingSubmissions,
+        OptionalDouble historyRetentionS) {
 
     /** What counts without a file, and for each field that a file lacks. */
-    public static final OperatorSettings DEFAULTS = new OperatorSettings(1.5, 3.5, 1.0, 128);
+    public static final OperatorSettings DEFAULTS =
+            new OperatorSettings(1.5, 3.5, 1.0, 128, OptionalDouble.empty());
 }
--- a/src/main/java/org/springmill/protocol/OperatorSettingsFile.java
+++ b/src/main/java/org/springmill/protocol/OperatorSettingsFile.java
@@ -6,6 +6,7 @@
 import java.nio.file.Files;
 import java.nio.file.Path;
 import java.util.Map;
+import java.util.OptionalDouble;
 import java.util.Set;
 import java.util.TreeSet;
 
@@ -20,11 +21,19 @@
     private static final String BOOT_PATIENCE = "boot_patience";
     private static final String RESERVE = "reserve";
     private static final String PENDING_SUBMISSIONS = "pending_submissions";
+    private static final String HISTORY = "history";
+    private static final String RETENTION = "retention_s";
+
+    /** Users poll until they have been told the end of their job, which takes seconds. */
+    private static final double MIN_RETENTION_S = 30;
+
+    private static final double MAX_RETENTION_S = 30 * 86_400.0;
 
     private static final Map<String, Set<String>> FIELDS_BY_BLOCK =
             Map.of(
                     RENTALS, Set.of(IDLE_BOOTS, BOOT_PATIENCE, RESERVE),
-                    USERS, Set.of(PENDING_SUBMISSIONS));
+                    USERS, Set.of(PENDING_SUBMISSIONS),
+                    HISTORY, Set.of(RETENTION));
 
     private final Path file;
     private final Map<String, Object> blocks;
@@ -81,7 +90,24 @@
         double reserve = number(RENTALS, RESERVE, defaults.reserve(), 0, 10);
         double pendingSubmissions =
                 number(USERS, PENDING_SUBMISSIONS, defaults.pendingSubmissions(), 1, 10_000);
-        return new OperatorSettings(idleBoots, bootPatience, reserve, (int) pendingSubmissions);
+        return new OperatorSettings(
+                idleBoots, bootPatience, reserve, (int) pendingSubmissions, historyRetention());
+    }
+
+    /** The block switches the history on, so it has to say for how long records stay. */
+    private OptionalDouble historyRetention() throws SettingsException {
+        if (!blocks.containsKey(HISTORY)) {
+            return OptionalDouble.empty();
+        }
+        double retention = number(HISTORY, RETENTION, Double.NaN, MIN_RETENTION_S, MAX_RETENTION_S);
+        if (Double.isNaN(retention)) {
+            throw new SettingsException(
+                    file,
+                    HISTORY + "." + RETENTION,
+                    "is missing; say for how many seconds records of ended jobs stay in memory,"
+                            + " such as 3600, or remove the block");
+        }
+        return OptionalDouble.of(retention);
     }
 
     private double number(
--- a/src/main/java/org/springmill/protocol/PeerMessages.java
+++ b/src/main/java/org/springmill/protocol/PeerMessages.java
@@ -41,6 +41,7 @@
      * @param term the highest leadership term it knows of
      * @param news what it knows of cancelled jobs; {@link News#NONE} from a version that does not
      *     tell
+     * @param keepsHistory whether it takes part in the bounded history
      */
     public record Status(
             String from,
@@ -53,8 +54,38 @@
             boolean leaderSilent,
             int witnessAgoMs,
             long term,
-            News news)
-            implements PeerRecord {}
+            News news,
+            boolean keepsHistory)
+            implements PeerRecord {
+
+        /** The status of a controller that takes no part in the bounded history. */
+        public Status(
+                String from,
+                long question,
+                long echo,
+                boolean stateReachable,
+                boolean leading,
+                boolean informed,
+                int workers,
+                boolean leaderSilent,
+                int witnessAgoMs,
+                long term,
+                News news) {
+            this(
+                    from,
+                    question,
+                    echo,
+                    stateReachable,
+                    leading,
+                    informed,
+                    workers,
+                    leaderSilent,
+                    witnessAgoMs,
+                    term,
+                    news,
+                    false);
+        }
+    }
 
     /** A committed cancellation. It is final, so it may be acted on whoever tells of it. */
     public record Cancellation(String job, long revision, double askedAt) {}
@@ -119,6 +150,9 @@
                 out.writeBoolean(s.news.complete);
                 out.writeBoolean(s.news.informed);
                 write(out, s.news.cancellations);
+                if (s.keepsHistory) {
+                    out.writeBoolean(true);
+                }
             } else if (message instanceof Cancelled c) {
                 out.writeByte(CANCELLED);
                 out.writeUTF(c.from);
@@ -172,7 +206,8 @@
                                         in.readLong(),
                                         in.readBoolean(),
                                         in.readBoolean(),
-                                        readCancellations(in)));
+                                        readCancellations(in)),
+                        in.available() > 0 && in.readBoolean());
             }
             if (kind == CANCELLED) {
                 return new Cancelled(in.readUTF(), readCancellations(in));
--- a/src/test/java/org/springmill/architecture/LayersTest.java
+++ b/src/test/java/org/springmill/architecture/LayersTest.java
@@ -11,13 +11,14 @@
 
 /**
  * The layers of the program, from the bottom: transport and protocol, which know nothing of each
- * other, storage, coordination, command line. A layer depends only on those below it.
+ * other, storage, job history, coordination, command line. A layer depends only on those below it.
  */
 @AnalyzeClasses(packages = "org.springmill", importOptions = ImportOption.DoNotIncludeTests.class)
 class LayersTest {
     private static final String TRANSPORT = "org.springmill.transport..";
     private static final String PROTOCOL = "org.springmill.protocol..";
     private static final String STORAGE = "org.springmill.control.storage..";
+    private static final String HISTORY = "org.springmill.control.history..";
     private static final String COORDINATION = "org.springmill.control.coordination..";
     private static final String COMMAND_LINE = "org.springmill.cli..";
 
@@ -31,16 +32,20 @@
                     .definedBy(PROTOCOL)
                     .layer("storage")
                     .definedBy(STORAGE)
+                    .layer("history")
+                    .definedBy(HISTORY)
                     .layer("coordination")
                     .definedBy(COORDINATION)
                     .layer("command line")
                     .definedBy(COMMAND_LINE)
                     .whereLayer("transport")
-                    .mayOnlyBeAccessedByLayers("storage", "coordination", "command line")
+                    .mayOnlyBeAccessedByLayers("storage", "history", "coordination", "command line")
                     .whereLayer("protocol")
-                    .mayOnlyBeAccessedByLayers("storage", "coordination", "command line")
+                    .mayOnlyBeAccessedByLayers("storage", "history", "coordination", "command line")
                     .whereLayer("storage")
-                    .mayOnlyBeAccessedByLayers("coordination", "command line")
+                    .mayOnlyBeAccessedByLayers("history", "coordination", "command line")
+                    .whereLayer("history")
+                    .mayOnlyBeAccessedByLayers("coordination")
                     .whereLayer("coordination")
                     .mayOnlyBeAccessedByLayers("command line")
                     .whereLayer("command line")
@@ -50,7 +55,8 @@
     static final ArchRule everyClassBelongsToALayer =
             classes()
                     .should()
-                    .resideInAnyPackage(TRANSPORT, PROTOCOL, STORAGE, COORDINATION, COMMAND_LINE);
+                    .resideInAnyPackage(
+                            TRANSPORT, PROTOCOL, STORAGE, HISTORY, COORDINATION, COMMAND_LINE);
 
     @ArchTest
     static final ArchRule packagesHaveNoCycles =
--- a/src/test/java/org/springmill/control/coordination/ClusterFixture.java
+++ b/src/test/java/org/springmill/control/coordination/ClusterFixture.java
@@ -28,9 +28,13 @@
 
     /** Starts controllers and machines, and waits until a leader is elected. */
     void startCluster(long seed) {
+        startCluster(new SimulatedCluster(seed));
+    }
+
+    /** Adds machines to a cluster, and waits until a leader is elected. */
+    void startCluster(SimulatedCluster started) {
         cluster =
-                new SimulatedCluster(seed)
-                        .machines("large", "a", MACHINES_PER_ZONE)
+                started.machines("large", "a", MACHINES_PER_ZONE)
                         .machines("large", "b", MACHINES_PER_ZONE)
                         .run(ELECTION_SECONDS);
         assertNotEquals(-1, cluster.leader());
--- /dev/null
+++ b/src/test/java/org/springmill/control/coordination/HistoryChainTest.java
@@ -0,0 +1,111 @@
+package org.springmill.control.coordination;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
+import org.springmill.sim.SimNetwork.Fate;
+
+/** Chains of jobs of which a part has been moved to the history. */
+class HistoryChainTest extends HistoryFixture {
+    private static final int FIRST = 1;
+    private static final int DEPENDENT = 2;
+    private static final int LAST = 3;
+
+    @Test
+    void aSubmissionMayNameAJobThatHasLeftMemory() {
+        runAndMove(FIRST);
+        submit(follower(), 2, job(DEPENDENT, 1, FIRST));
+        runUntilDone(DEPENDENT);
+        assertPhaseEverywhere("done", DEPENDENT);
+    }
+
+    @Test
+    void aSubmissionThatNamesAMovedCancelledJobIsCancelledAtOnce() {
+        cancelAndMove(job(FIRST, 1), FIRST);
+        var reply =
+                cluster.ask(
+                        follower(), "POST", "/submissions", job(DEPENDENT, 1, FIRST).toString());
+        assertEquals(201, reply.status());
+        assertTrue(bodyOf(reply).contains("cancelled"), bodyOf(reply));
+        assertPhaseEverywhere("cancelled", DEPENDENT);
+        cluster.run(10);
+        assertEquals(0, cluster.starts(id(DEPENDENT) + "/0"));
+    }
+
+    @Test
+    void aSubmissionThatNamesAMovedServiceOrAnUnknownJobIsRefused() {
+        cancelAndMove(service(FIRST, 1), FIRST);
+        assertEquals(422, cluster.submit(follower(), job(DEPENDENT, 1, FIRST), 1));
+        assertEquals(422, cluster.submit(follower(), job(DEPENDENT, 1, 77), 1));
+    }
+
+    /** While a job waits on others too, the records of those that are done stay. */
+    @Test
+    void aJobThatAnotherWaitsOnIsNotMoved() {
+        submit(follower(), FOREVER, job(LAST, 1));
+        runToEnd(FIRST);
+        submit(follower(), 2, job(DEPENDENT, 1, FIRST, LAST));
+        cluster.run(2 * UNTIL_MOVED_SECONDS);
+        assertNotMoved(FIRST);
+        assertEquals("cancelled", cluster.withdraw(0, id(LAST)));
+        cluster.run(3 * UNTIL_MOVED_SECONDS);
+        assertMoved(FIRST);
+        assertMoved(DEPENDENT);
+        assertMoved(LAST);
+        assertPhaseEverywhere("done", FIRST);
+        assertPhaseEverywhere("cancelled", DEPENDENT, LAST);
+    }
+
+    /** A lagging controller has accepted a dependent while the leader moved what it names. */
+    @ParameterizedTest
+    @ValueSource(booleans = {false, true})
+    void aDependentReadAfterItsDependencyWasMovedIsRunOrCancelled(boolean cancelled) {
+        if (cancelled) {
+            cancelAndMove(job(FIRST, 1), FIRST);
+        } else {
+            runAndMove(FIRST);
+        }
+        forgetAnswersInMemory();
+        store("job/" + id(DEPENDENT), jobRecord(DEPENDENT, ",\"accepted\":1.0E9", FIRST));
+        store("job/" + id(LAST), jobRecord(LAST, ",\"accepted\":1.0E9", DEPENDENT));
+        cluster.assume(job(DEPENDENT, 2, FIRST));
+        cluster.assume(job(LAST, 2, DEPENDENT));
+        cluster.run(UNTIL_MOVED_SECONDS);
+        assertPhaseEverywhere(cancelled ? "cancelled" : "done", DEPENDENT, LAST);
+        assertEquals(cancelled ? 0 : 1, cluster.starts(id(DEPENDENT) + "/0"));
+    }
+
+    /** Until the end of what it needs has been read, a job is neither run nor given an answer. */
+    @Test
+    void aDependentWhoseDependencyCannotBeReadIsNeitherRunNorAnswered() {
+        cancelAndMove(job(FIRST, 1), FIRST);
+        forgetAnswersInMemory();
+        cluster.network().judge((from, request) -> isLookup(request) ? Fate.DROP : Fate.DELIVER);
+        store("job/" + id(DEPENDENT), jobRecord(DEPENDENT, ",\"accepted\":1.0E9", FIRST));
+        store("job/" + id(LAST), jobRecord(LAST, ",\"accepted\":1.0E9", DEPENDENT));
+        cluster.assume(job(DEPENDENT, 2, FIRST));
+        cluster.assume(job(LAST, 2, DEPENDENT));
+        cluster.run(10);
+        for (int controller = 0; controller < CONTROLLERS; controller++) {
+            assertEquals("503", cluster.phase(controller, id(DEPENDENT)));
+            assertEquals("503", cluster.phase(controller, id(LAST)));
+        }
+        assertEquals(0, cluster.starts(id(DEPENDENT) + "/0"));
+        deliverAllMessages();
+        cluster.run(10);
+        assertPhaseEverywhere("cancelled", DEPENDENT, LAST);
+        cluster.run(3 * UNTIL_MOVED_SECONDS);
+        assertMoved(DEPENDENT);
+        assertMoved(LAST);
+    }
+
+    /** Restarts all controllers: none then has the final state of a moved job in memory. */
+    private void forgetAnswersInMemory() {
+        killControllers();
+        restartControllers();
+        cluster.run(20);
+    }
+}
--- /dev/null
+++ b/src/test/java/org/springmill/control/coordination/HistoryFixture.java
@@ -0,0 +1,120 @@
+package org.springmill.control.coordination;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import java.util.OptionalDouble;
+import org.junit.jupiter.api.BeforeEach;
+import org.springmill.sim.SimNetwork.Fate;
+import org.springmill.sim.SimulatedCluster;
+import org.springmill.transport.HttpClient.Request;
+
+/**
+ * The simulated cluster with the bounded history switched on at every controller. Jobs are named by
+ * numbers.
+ */
+abstract class HistoryFixture extends JobChainFixture {
+    static final double RETENTION_SECONDS = 30;
+
+    /** Beyond the retention: what is due was moved, and every controller has seen it. */
+    static final double UNTIL_MOVED_SECONDS = RETENTION_SECONDS + 12;
+
+    private static final double RUN_SECONDS = 2;
+
+    /** By now the machines of the start are returned for being idle, and one has to boot. */
+    private static final double UNTIL_DONE_SECONDS = 60;
+
+    @BeforeEach
+    @Override
+    void startClusterWithDefaultSeed() {
+        startCluster(new SimulatedCluster(1, OptionalDouble.of(RETENTION_SECONDS)));
+        cluster.run(20);
+    }
+
+    /** Submits a job of one task and waits until its record says that it is done. */
+    final void runToEnd(int number) {
+        submit(follower(), RUN_SECONDS, job(number, 1));
+        runUntilDone(number);
+        assertEquals("done", cluster.state().value("job/" + id(number)).path("end").asText());
+    }
+
+    /** Lets time pass until a job's record says that it is done, or no longer. */
+    final void runUntilDone(int number) {
+        for (int i = 0; i < UNTIL_DONE_SECONDS && !isDone(number); i++) {
+            cluster.run(1);
+        }
+    }
+
+    private boolean isDone(int number) {
+        var record = cluster.state().value("job/" + id(number));
+        return record != null && record.path("end").asText().equals("done");
+    }
+
+    /** Runs a job to its end and waits until its record was moved. */
+    final void runAndMove(int number) {
+        runToEnd(number);
+        waitUntilMoved(number);
+    }
+
+    /** Submits a job, cancels it and waits until its record was moved. */
+    final void cancelAndMove(ObjectNode job, int number) {
+        submit(follower(), FOREVER, job);
+        assertEquals("cancelled", cluster.withdraw(follower(), id(number)));
+        waitUntilMoved(number);
+    }
+
+    final void waitUntilMoved(int number) {
+        cluster.run(UNTIL_MOVED_SECONDS);
+        assertMoved(number);
+    }
+
+    final void assertMoved(int number) {
+        assertFalse(isStored("job/" + id(number)), "record of " + id(number));
+        assertTrue(isStored("ended/" + id(number)), "final state of " + id(number));
+    }
+
+    final void assertNotMoved(int number) {
+        assertTrue(isStored("job/" + id(number)), "record of " + id(number));
+        assertFalse(isStored("ended/" + id(number)), "final state of " + id(number));
+    }
+
+    final boolean isStored(String key) {
+        return cluster.state().value(key) != null;
+    }
+
+    /** Every controller answers a repeated submission of an ended job with its final state. */
+    final void assertResubmissionAnswered(String phase, ObjectNode job) {
+        for (int controller = 0; controller < CONTROLLERS; controller++) {
+            var reply = cluster.ask(controller, "POST", "/submissions", job.toString());
+            assertEquals(200, reply.status(), "at " + controller);
+            assertTrue(bodyOf(reply).contains('"' + phase + '"'), bodyOf(reply));
+        }
+    }
+
+    /** Reads a gauge of a controller. */
+    final double gauge(int controller, String name) {
+        cluster.run(1.1);
+        String text = bodyOf(cluster.ask(controller, "GET", "/metrics", ""));
+        return text.lines()
+                .filter(line -> line.startsWith("springmill_" + name + " "))
+                .mapToDouble(line -> Double.parseDouble(line.substring(line.indexOf(' ') + 1)))
+                .findFirst()
+                .orElseThrow();
+    }
+
+    static boolean isMove(Request request) {
+        return MessageMatchers.isCommit(request)
+                && MessageMatchers.text(request).contains("\"write\":\"ended/");
+    }
+
+    static boolean isLookup(Request request) {
+        return request.path().startsWith("/store/ended/");
+    }
+
+    /** What happens to moves from now on; everything else is delivered. */
+    final void moves(Fate fate) {
+        cluster.network().judge((from, request) -> isMove(request) ? fate : Fate.DELIVER);
+    }
+}
--- /dev/null
+++ b/src/test/java/org/springmill/control/coordination/HistoryMoveTest.java
@@ -0,0 +1,287 @@
+package org.springmill.control.coordination;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.util.OptionalDouble;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.EnumSource;
+import org.springmill.sim.SimNetwork.Fate;
+import org.springmill.sim.SimulatedCluster;
+
+/** Records of ended jobs leave every controller's memory, and their ends are told for good. */
+class HistoryMoveTest extends HistoryFixture {
+    private static final int DONE = 1;
+    private static final int CANCELLED = 2;
+
+    @Test
+    void movedJobsAreAnsweredByEveryControllerAndHeldByNone() {
+        runToEnd(DONE);
+        cancelAndMove(job(CANCELLED, 2), CANCELLED);
+        assertMoved(DONE);
+        assertMoved(CANCELLED);
+        for (int controller = 0; controller < CONTROLLERS; controller++) {
+            assertEquals(0, gauge(controller, "jobs"));
+            assertEquals(0, gauge(controller, "cancellations"));
+        }
+        assertPhaseEverywhere("done", DONE);
+        assertPhaseEverywhere("cancelled", CANCELLED);
+        assertResubmissionAnswered("done", job(DONE, 1));
+        assertResubmissionAnswered("cancelled", job(CANCELLED, 2));
+        assertEquals("done", cluster.withdraw(0, id(DONE)));
+        assertEquals("cancelled", cluster.withdraw(0, id(CANCELLED)));
+        assertEquals("404", cluster.phase(0, id(3)));
+        assertEquals("404", cluster.withdraw(0, id(3)));
+        cluster.run(20);
+        assertEachTaskStartedOnce(id(DONE), 1);
+    }
+
+    @Test
+    void aControllerThatStartsReadsNothingOfMovedJobs() {
+        runAndMove(DONE);
+        killControllers();
+        restartControllers();
+        cluster.run(20);
+        assertEquals(0, gauge(0, "jobs"));
+        assertEquals(0, gauge(0, "moved_jobs_in_memory"));
+        assertResubmissionAnswered("done", job(DONE, 1));
+        cluster.run(10);
+        assertEachTaskStartedOnce(id(DONE), 1);
+    }
+
+    @Test
+    void aJobIsNotMovedWhileATaskOfItMayBeLeft() {
+        submit(follower(), FOREVER, job(CANCELLED, 1));
+        cluster.run(5);
+        var machine = cluster.holder(id(CANCELLED) + "/0");
+        machine.hang(true);
+        cluster.network()
+                .judge(
+                        (from, request) ->
+                                request.path().startsWith("/rentals/delete")
+                                        ? Fate.DROP
+                                        : Fate.DELIVER);
+        // Nothing proves the task gone while a controller is silent and the cloud deletes nothing.
+        cluster.kill(follower());
+        int asked = (cluster.leader() + 2) % CONTROLLERS;
+        assertEquals("cancelled", cluster.withdraw(asked, id(CANCELLED)));
+        cluster.run(2 * UNTIL_MOVED_SECONDS);
+        assertNotMoved(CANCELLED);
+        deliverAllMessages();
+        cluster.run(UNTIL_MOVED_SECONDS);
+        assertMoved(CANCELLED);
+    }
+
+    /** A job once moved is answered, whatever becomes of its team or of the machine types. */
+    @Test
+    void aResubmissionThatWouldBeImpossibleNowGetsTheFinalState() {
+        runAndMove(DONE);
+        assertResubmissionAnswered("done", job(DONE, 1).put("crew", "green"));
+    }
+
+    @ParameterizedTest
+    @EnumSource(
+            value = Fate.class,
+            names = {"LOSE_ANSWER", "DROP", "HOLD", "REFUSE"})
+    void resubmissionsDuringAMoveThatGoesWrongNeverRunTheJobAgain(Fate fate) {
+        runToEnd(DONE);
+        moves(fate);
+        cluster.run(UNTIL_MOVED_SECONDS);
+        assertResubmissionAnswered("done", job(DONE, 1));
+        assertPhaseEverywhere("done", DONE);
+        deliverAllMessages();
+        cluster.run(UNTIL_MOVED_SECONDS);
+        assertMoved(DONE);
+        cluster.network().releaseHeld();
+        cluster.run(5);
+        assertMoved(DONE);
+        assertResubmissionAnswered("done", job(DONE, 1));
+        assertEachTaskStartedOnce(id(DONE), 1);
+    }
+
+    /**
+     * The record's creation is carried out only after the job was accepted elsewhere, has ended and
+     * was moved. Without the condition on the moved record it would create the job anew.
+     */
+    @Test
+    void anAcceptanceCarriedOutAfterTheMoveIsRefused() {
+        String created = "\"write\":\"job/" + id(DONE) + '"';
+        int slow = follower();
+        cluster.network()
+                .judge(
+                        (from, request) ->
+                                MessageMatchers.fromController(from, slow)
+                                                && MessageMatchers.isCommit(request)
+                                                && MessageMatchers.text(request).contains(created)
+                                        ? Fate.HOLD
+                                        : Fate.DELIVER);
+        assertEquals(503, cluster.submit(slow, job(DONE, 1), 2));
+        assertTrue(cluster.network().holdsAny());
+        assertEquals(201, cluster.submit(cluster.leader(), job(DONE, 1), 2));
+        deliverAllMessages();
+        cluster.run(10);
+        waitUntilMoved(DONE);
+        cluster.network().releaseHeld();
+        cluster.run(20);
+        assertMoved(DONE);
+        assertPhaseEverywhere("done", DONE);
+        assertEachTaskStartedOnce(id(DONE), 1);
+    }
+
+    /** The old leader's move arrives after the new one's, or in its stead. */
+    @ParameterizedTest
+    @EnumSource(MoveOrder.class)
+    void aDeposedLeadersMoveChangesNothing(MoveOrder order) {
+        runToEnd(DONE);
+        moves(Fate.HOLD);
+        int old = cluster.leader();
+        cluster.run(UNTIL_MOVED_SECONDS);
+        assertTrue(cluster.network().holdsAny());
+        cluster.kill(old);
+        deliverAllMessages();
+        // Another leads by now, and moves nothing yet.
+        cluster.run(10);
+        assertTrue(cluster.leader() != old);
+        if (order == MoveOrder.LATE_FIRST) {
+            cluster.network().releaseHeld();
+            cluster.run(0.1);
+            assertNotMoved(DONE);
+        }
+        cluster.restart(old);
+        cluster.run(2 * UNTIL_MOVED_SECONDS);
+        assertMoved(DONE);
+        cluster.network().releaseHeld();
+        cluster.run(5);
+        assertMoved(DONE);
+        assertPhaseEverywhere("done", DONE);
+        assertEachTaskStartedOnce(id(DONE), 1);
+    }
+
+    private enum MoveOrder {
+        LATE_FIRST,
+        LATE_LAST
+    }
+
+    /**
+     * A watch brings an old change of a record after a barrier has brought its deletion. Taken in,
+     * it would bring the record back, and with it a job that has run.
+     */
+    @Test
+    void anOldChangeReadAfterTheMoveBringsNothingBack() {
+        runToEnd(DONE);
+        int lagging = follower();
+        cluster.network()
+                .delayAnswers(
+                        (from, request) ->
+                                MessageMatchers.fromController(from, lagging)
+                                                && request.path().startsWith("/changes?under=job/")
+                                                && !request.path().endsWith("waitMs=0")
+                                        ? UNTIL_MOVED_SECONDS
+                                        : 0);
+        submit(lagging, 2, job(CANCELLED, 1));
+        waitUntilMoved(DONE);
+        cluster.run(UNTIL_MOVED_SECONDS);
+        assertPhaseEverywhere("done", DONE, CANCELLED);
+        cluster.run(2 * UNTIL_MOVED_SECONDS);
+        assertEquals(0, gauge(lagging, "jobs"));
+        assertEachTaskStartedOnce(id(CANCELLED), 1);
+    }
+
+    /** A controller whose copy lags must not call a job unknown that others have told of. */
+    @Test
+    void aQuestionAtAControllerThatReadsNothingGetsNoFinalAnswer() {
+        int lagging = follower();
+        cluster.network()
+                .judge(
+                        (from, request) ->
+                                MessageMatchers.fromController(from, lagging)
+                                                && (request.path().startsWith("/changes?under=job/")
+                                                        || isLookup(request))
+                                        ? Fate.DROP
+                                        : Fate.DELIVER);
+        submit(cluster.leader(), 2, job(DONE, 1));
+        cluster.run(10);
+        waitUntilMoved(DONE);
+        assertEquals("503", cluster.phase(lagging, id(DONE)));
+        assertEquals("503", cluster.withdraw(lagging, id(DONE)));
+        assertEquals(503, cluster.submit(lagging, job(DONE, 1), 2));
+        cluster.calm().run(10);
+        assertPhaseEverywhere("done", DONE);
+    }
+
+    /** Reads every record again after an outage so long that the changes are no longer kept. */
+    @Test
+    void recordsMovedWhileAControllerMissedTooManyChangesAreForgottenThere() {
+        runToEnd(DONE);
+        int lagging = follower();
+        cluster.network()
+                .judge(
+                        (from, request) ->
+                                MessageMatchers.fromController(from, lagging)
+                                                && request.path().startsWith("/changes?under=job/")
+                                        ? Fate.DROP
+                                        : Fate.DELIVER);
+        waitUntilMoved(DONE);
+        assertEquals(1, gauge(lagging, "jobs"));
+        cluster.state().forgetChanges();
+        deliverAllMessages();
+        cluster.run(30);
+        assertEquals(0, gauge(lagging, "jobs"));
+        assertPhaseEverywhere("done", DONE);
+    }
+
+    /** Memory follows live and recent jobs: many pass through, and nothing of them stays. */
+    @Test
+    void whatIsHeldInMemoryDoesNotGrowWithTheJobsThatPassThrough() {
+        int most = 0;
+        for (int number = 1; number <= 120; number++) {
+            submit(number % CONTROLLERS, 0.5, job(number, 1));
+            if (number % 4 == 0) {
+                assertEquals("cancelled", cluster.withdraw(0, submitToCancel(1000 + number)));
+            }
+            cluster.run(2);
+            if (number % 20 == 0) {
+                most = Math.max(most, (int) gauge(number % CONTROLLERS, "jobs"));
+            }
+        }
+        // 1.25 jobs in 3 s, for the retention and the time until they are moved.
+        assertTrue(most < 40, most + " jobs held");
+        cluster.run(2 * UNTIL_MOVED_SECONDS);
+        for (int controller = 0; controller < CONTROLLERS; controller++) {
+            assertEquals(0, gauge(controller, "jobs"));
+            assertEquals(0, gauge(controller, "cancellations"));
+        }
+        assertEquals(150, cluster.state().keysUnder("ended/").size());
+        assertPhaseEverywhere("done", 1, 60, 119);
+        assertPhaseEverywhere("cancelled", 1004, 1120);
+    }
+
+    private String submitToCancel(int number) {
+        submit(1, FOREVER, job(number, 1));
+        return id(number);
+    }
+
+    @Test
+    void withoutTheSettingNothingIsMovedAndWhatWasMovedIsStillAnswered() {
+        runAndMove(DONE);
+        killControllers();
+        cluster.setHistoryRetention(OptionalDouble.empty());
+        restartControllers();
+        cluster.run(20);
+        runToEnd(3);
+        cluster.run(2 * UNTIL_MOVED_SECONDS);
+        assertNotMoved(3);
+        assertPhaseEverywhere("done", DONE, 3);
+        assertResubmissionAnswered("done", job(DONE, 1));
+        assertEachTaskStartedOnce(id(DONE), 1);
+    }
+
+    @Test
+    void anotherSeedOfTheClusterMovesAsWell() {
+        startCluster(new SimulatedCluster(7, OptionalDouble.of(RETENTION_SECONDS)));
+        cluster.run(20);
+        runAndMove(DONE);
+        assertPhaseEverywhere("done", DONE);
+    }
+}
--- /dev/null
+++ b/src/test/java/org/springmill/control/coordination/HistoryOutageTest.java
@@ -0,0 +1,92 @@
+package org.springmill.control.coordination;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import org.junit.jupiter.api.Test;
+
+/** Moves while the state service fails in some way, or takes less than before. */
+class HistoryOutageTest extends HistoryFixture {
+    private static final int JOBS = 8;
+
+    private void endJobs() {
+        for (int number = 1; number <= JOBS; number++) {
+            submit(number % CONTROLLERS, 1, job(number, 1));
+        }
+        cluster.run(15);
+    }
+
+    private void assertAllMovedAndAnswered() {
+        for (int number = 1; number <= JOBS; number++) {
+            assertMoved(number);
+            assertPhaseEverywhere("done", number);
+            assertEachTaskStartedOnce(id(number), 1);
+        }
+    }
+
+    @Test
+    void movesGoOnAfterAnOutage() {
+        endJobs();
+        cluster.run(RETENTION_SECONDS - 15);
+        cluster.state().setDown(true);
+        cluster.run(60);
+        cluster.state().setDown(false);
+        cluster.run(2 * UNTIL_MOVED_SECONDS);
+        assertAllMovedAndAnswered();
+    }
+
+    @Test
+    void movesGoOnWhenTheLeaderAloneIsRefused() {
+        endJobs();
+        cluster.run(RETENTION_SECONDS - 15);
+        int refused = cluster.leader();
+        cluster.state().refuse(refused, true);
+        cluster.run(3 * UNTIL_MOVED_SECONDS);
+        assertTrue(cluster.leader() != refused);
+        assertAllMovedOnce();
+        cluster.state().refuse(refused, false);
+        cluster.run(20);
+        assertAllMovedAndAnswered();
+    }
+
+    private void assertAllMovedOnce() {
+        assertEquals(JOBS, cluster.state().keysUnder("ended/").size());
+        assertEquals(0, cluster.state().keysUnder("job/").size());
+    }
+
+    /** Transactions without an answer, carried out seconds later, in the middle of the moves. */
+    @Test
+    void movesCarriedOutLateLoseNothing() {
+        endJobs();
+        cluster.state().delayCommits(0.5);
+        cluster.run(2 * UNTIL_MOVED_SECONDS);
+        cluster.calm().run(2 * UNTIL_MOVED_SECONDS);
+        assertAllMovedOnce();
+        assertAllMovedAndAnswered();
+    }
+
+    /** A slow state service delays moves; leadership and acceptance go on. */
+    @Test
+    void aSlowStateServiceKeepsItsTimeForLeadershipAndAcceptance() {
+        endJobs();
+        cluster.network()
+                .delayAnswers((from, request) -> MessageMatchers.toStateService(request) ? 0.3 : 0);
+        int leader = cluster.leader();
+        for (int number = 101; number <= 110; number++) {
+            submit(number % CONTROLLERS, 1, job(number, 1));
+            cluster.run(4);
+        }
+        assertEquals(leader, cluster.leader());
+        cluster.run(4 * UNTIL_MOVED_SECONDS);
+        assertAllMovedAndAnswered();
+    }
+
+    /** The service takes smaller transactions from one moment to the next, unannounced. */
+    @Test
+    void movesKeepToLowerLimits() {
+        endJobs();
+        cluster.state().limit(2048, 2);
+        cluster.run(4 * UNTIL_MOVED_SECONDS);
+        assertAllMovedAndAnswered();
+    }
+}
--- a/src/test/java/org/springmill/control/coordination/JobDependenciesTest.java
+++ b/src/test/java/org/springmill/control/coordination/JobDependenciesTest.java
@@ -23,7 +23,7 @@
 
 class JobDependenciesTest {
     private final Map<String, JobRecord> jobs = new HashMap<>();
-    private final JobDependencies dependencies = new JobDependencies(jobs);
+    private final JobDependencies dependencies = new JobDependencies(jobs, id -> null);
 
     /** From a line such as "3<1,2": job 3 needs 1 and 2. */
     private static Submission job(String line) throws BadMessageException {
@@ -90,7 +90,7 @@
         Random random = new Random(5);
         for (int order = 0; order < 20; order++) {
             jobs.clear();
-            JobDependencies again = new JobDependencies(jobs);
+            JobDependencies again = new JobDependencies(jobs, id -> null);
             for (JobRecord next : records) {
                 JobRecord known = jobs.get(next.id());
                 if (known == null || known.version() < next.version()) {
--- a/src/test/java/org/springmill/control/coordination/MetricsTest.java
+++ b/src/test/java/org/springmill/control/coordination/MetricsTest.java
@@ -23,6 +23,7 @@
     private static final Set<String> COUNTERS =
             Set.of(
                     "springmill_claims_committed_total",
+                    "springmill_job_records_moved_total",
                     "springmill_attempts_ended_total",
                     "springmill_attempts_lost_total");
 
--- a/src/test/java/org/springmill/sim/SimController.java
+++ b/src/test/java/org/springmill/sim/SimController.java
@@ -24,7 +24,7 @@
 
     SimController(
             int number,
-            Settings.State stateLimits,
+            Settings settings,
             long seed,
             VirtualClock clock,
             SimNetwork network,
@@ -33,13 +33,7 @@
         this.clock = clock;
         this.network = network;
         this.peerNetwork = peerNetwork;
-        controller =
-                new Controller(
-                        SimSettings.of(number, stateLimits),
-                        this,
-                        this,
-                        this,
-                        new SplittableRandom(seed));
+        controller = new Controller(settings, this, this, this, new SplittableRandom(seed));
         controller.start();
     }
 
--- a/src/test/java/org/springmill/sim/SimSettings.java
+++ b/src/test/java/org/springmill/sim/SimSettings.java
@@ -53,7 +53,12 @@
         return address.charAt(CONTROLLER_HOST_PREFIX.length()) - '0';
     }
 
+    /** Settings of a controller whose operators have set nothing. */
     static Settings of(int controller, Settings.State stateLimits) {
+        return of(controller, stateLimits, OperatorSettings.DEFAULTS);
+    }
+
+    static Settings of(int controller, Settings.State stateLimits, OperatorSettings operator) {
         Map<String, String> peers = new HashMap<>();
         for (int i = 0; i < CONTROLLERS; i++) {
             if (i != controller) {
@@ -78,6 +83,6 @@
                 stateLimits,
                 new Settings.Cloud(4, 3),
                 new Settings.Limits(0.2, 176, 700),
-                OperatorSettings.DEFAULTS);
+                operator);
     }
 }
--- a/src/test/java/org/springmill/sim/SimState.java
+++ b/src/test/java/org/springmill/sim/SimState.java
@@ -50,6 +50,7 @@
     private final List<Change> changes = new ArrayList<>();
     private final List<Watch> watches = new ArrayList<>();
     private long revision;
+    private long oldestKept;
     private long nextLease = 1;
     private final Set<String> refused = new HashSet<>();
     private SplittableRandom random;
@@ -84,6 +85,12 @@
         serveOverdue();
     }
 
+    /** The changes so far are no longer kept: whoever asks for them has to read the keys anew. */
+    public void forgetChanges() {
+        changes.clear();
+        oldestKept = revision;
+    }
+
     void random(SplittableRandom source) {
         random = source;
     }
@@ -336,6 +343,11 @@
         if (watch.over || !serves(watch.node)) {
             return watch.over;
         }
+        if (watch.from < oldestKept) {
+            watch.over = true;
+            watch.done.accept(reply(410, JSON.createObjectNode()));
+            return true;
+        }
         ArrayNode news = JSON.createArrayNode();
         for (Change change : changes) {
             if (change.revision() > watch.from && change.key().startsWith(watch.prefix)) {
--- a/src/test/java/org/springmill/sim/SimulatedCluster.java
+++ b/src/test/java/org/springmill/sim/SimulatedCluster.java
@@ -6,8 +6,10 @@
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.OptionalDouble;
 import java.util.SplittableRandom;
 import java.util.function.Consumer;
+import org.springmill.protocol.OperatorSettings;
 import org.springmill.protocol.Settings;
 import org.springmill.transport.HttpClient.Reply;
 import org.springmill.transport.HttpClient.Request;
@@ -35,6 +37,7 @@
     private final Map<String, Integer> starts = new HashMap<>();
     private double imageFetchSeconds = IMAGE_FETCH_SECONDS;
     private Settings.State stateLimits = SimSettings.STATE_LIMITS;
+    private OperatorSettings operatorSettings = OperatorSettings.DEFAULTS;
     private int incarnations;
 
     public SimulatedCluster() {
@@ -45,6 +48,15 @@
      * @param seed of everything that is random
      */
     public SimulatedCluster(long seed) {
+        this(seed, OptionalDouble.empty());
+    }
+
+    /**
+     * @param seed of everything that is random
+     * @param historyRetentionSeconds with which all controllers keep the bounded history
+     */
+    public SimulatedCluster(long seed, OptionalDouble historyRetentionSeconds) {
+        setHistoryRetention(historyRetentionSeconds);
         SplittableRandom random = new SplittableRandom(seed);
         network.random(random.split());
         state.random(random.split());
@@ -57,7 +69,23 @@
     }
 
     private SimController newController(int number) {
-        return new SimController(number, stateLimits, ++incarnations, clock, network, peerNetwork);
+        Settings settings = SimSettings.of(number, stateLimits, operatorSettings);
+        return new SimController(number, settings, ++incarnations, clock, network, peerNetwork);
+    }
+
+    /**
+     * Controllers that are started from now on keep the bounded history with that retention, or do
+     * not take part in it.
+     */
+    public void setHistoryRetention(OptionalDouble seconds) {
+        OperatorSettings defaults = OperatorSettings.DEFAULTS;
+        operatorSettings =
+                new OperatorSettings(
+                        defaults.idleBoots(),
+                        defaults.bootPatience(),
+                        defaults.reserve(),
+                        defaults.pendingSubmissions(),
+                        seconds);
     }
 
     /** Limits in the settings of controllers that are started from now on. */
