Emulated state service: one model for the simulated cluster and the emulator; random histories

Need: the emulator of the target size needs a state service by the published protocol, which the simulated cluster of the tests had for itself; and the bounded history was shown by single cases only.

Change: emulator.StateService answers typed requests (protocol.counterpart has the other side of each interface), and the tests' SimState only adds the virtual clock and late transactions to it. It also keeps the bounds of page bytes, conditions and kept changes, which the former one did not. HistoryPropertyTest (jqwik, fixed seed) plays 60 random schedules of 40 to 90 steps: submissions, dependents, repeats, cancellations, questions, crashes, lagging controllers, held and late commits, outages. A test of an old change read after a move now really delivers one.

--- /dev/null
+++ b/src/main/java/org/springmill/emulator/StateService.java
@@ -0,0 +1,398 @@
+package org.springmill.emulator;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import java.util.ArrayDeque;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import java.util.TreeMap;
+import java.util.function.Consumer;
+import org.springmill.protocol.BadMessageException;
+import org.springmill.protocol.Json;
+import org.springmill.protocol.StateMessages.Change;
+import org.springmill.protocol.StateMessages.Condition;
+import org.springmill.protocol.StateMessages.Entry;
+import org.springmill.protocol.StateMessages.Write;
+import org.springmill.protocol.counterpart.StateServiceMessages;
+import org.springmill.protocol.counterpart.StateServiceMessages.Commit;
+import org.springmill.protocol.counterpart.StateServiceMessages.Get;
+import org.springmill.protocol.counterpart.StateServiceMessages.Grant;
+import org.springmill.protocol.counterpart.StateServiceMessages.ListKeys;
+import org.springmill.protocol.counterpart.StateServiceMessages.Renew;
+import org.springmill.protocol.counterpart.StateServiceMessages.Revoke;
+import org.springmill.protocol.counterpart.StateServiceMessages.StateRequest;
+import org.springmill.protocol.counterpart.StateServiceMessages.Watch;
+import org.springmill.transport.HttpClient.Reply;
+import org.springmill.transport.Loop;
+
+/**
+ * A state service by the published protocol: keys with versions, transactions, leases and watches,
+ * with its limits of size and its outages. Limits of rate are kept by whoever passes requests on.
+ */
+public final class StateService {
+    private static final int MOST_CHANGES_KEPT = 10_000;
+    private static final int MAX_COMMIT_BYTES = 64 * 1024;
+    private static final int MAX_PAGE_BYTES = 512 * 1024;
+    private static final int CONDITIONS_PER_WRITE = 4;
+    private static final double EXPIRY_INTERVAL_SECONDS = 0.05;
+
+    private final Loop loop;
+    private int valueBytes;
+    private int writesPerCommit;
+    private final TreeMap<String, Entry> keys = new TreeMap<>();
+    private final Map<Long, Lease> leases = new HashMap<>();
+    private final ArrayDeque<Change> changes = new ArrayDeque<>();
+    private final List<OpenWatch> watches = new ArrayList<>();
+    private final Set<String> refused = new HashSet<>();
+    private long revision;
+    private long oldestKept;
+    private long nextLease = 1;
+    private int tooLarge;
+    private boolean down;
+
+    private static final class Lease {
+        private final double ttlS;
+        private double endsAt;
+
+        Lease(double ttlS, double now) {
+            this.ttlS = ttlS;
+            renew(now);
+        }
+
+        void renew(double now) {
+            endsAt = now + ttlS;
+        }
+    }
+
+    /** An open watch of a node; overdue once its time ran out while the node was not served. */
+    private static final class OpenWatch {
+        private final String node;
+        private final Watch watch;
+        private final Consumer<Reply> done;
+        private boolean overdue;
+        private boolean over;
+
+        OpenWatch(String node, Watch watch, Consumer<Reply> done) {
+            this.node = node;
+            this.watch = watch;
+            this.done = done;
+        }
+    }
+
+    public StateService(Loop loop, int valueBytes, int writesPerCommit) {
+        this.loop = loop;
+        this.valueBytes = valueBytes;
+        this.writesPerCommit = writesPerCommit;
+    }
+
+    /** Begins to end leases that run out. */
+    public void start() {
+        expire();
+        loop.after(EXPIRY_INTERVAL_SECONDS, this::start);
+    }
+
+    /** Other limits from now on, without notice. What is stored stays. */
+    public void limit(int bytes, int writes) {
+        valueBytes = bytes;
+        writesPerCommit = writes;
+    }
+
+    /** Transactions refused for their size so far. */
+    public int tooLarge() {
+        return tooLarge;
+    }
+
+    /** How many keys are stored. */
+    public int keyCount() {
+        return keys.size();
+    }
+
+    /** An outage; once it is over every lease has its full time again. */
+    public void setDown(boolean nowDown) {
+        expire();
+        if (down && !nowDown) {
+            leases.values().forEach(lease -> lease.renew(loop.now()));
+        }
+        down = nowDown;
+        serveWatches();
+    }
+
+    public boolean down() {
+        return down;
+    }
+
+    /**
+     * Answers one node 503 while the others are served; its leases run out, and its open watches
+     * wait.
+     */
+    public void refuse(String node, boolean now) {
+        if (now) {
+            refused.add(node);
+        } else {
+            refused.remove(node);
+            serveWatches();
+        }
+    }
+
+    /** Serves all nodes again. */
+    public void heal() {
+        refused.clear();
+        setDown(false);
+    }
+
+    /** The changes so far are no longer kept: whoever asks for them has to read the keys anew. */
+    public void forgetChanges() {
+        changes.clear();
+        oldestKept = revision;
+    }
+
+    /** The value of a key; null if there is none. */
+    public JsonNode value(String key) {
+        expire();
+        Entry entry = keys.get(key);
+        return entry == null ? null : entry.value();
+    }
+
+    /** All keys with a prefix. */
+    public List<String> keysUnder(String prefix) {
+        expire();
+        return keys.tailMap(prefix).keySet().stream()
+                .takeWhile(key -> key.startsWith(prefix))
+                .toList();
+    }
+
+    private boolean serves(String node) {
+        return !down && !refused.contains(node);
+    }
+
+    /**
+     * Answers a request, a watch perhaps later.
+     *
+     * @param target path and query
+     */
+    public void handle(
+            String node, String method, String target, byte[] body, Consumer<Reply> done) {
+        expire();
+        if (!serves(node)) {
+            done.accept(new Reply(503, StateServiceMessages.error("trouble")));
+            return;
+        }
+        try {
+            StateRequest request = StateServiceMessages.request(method, target, body);
+            if (request instanceof Watch watch) {
+                watch(node, watch, done);
+            } else {
+                done.accept(answer(request));
+            }
+        } catch (BadMessageException e) {
+            done.accept(new Reply(400, StateServiceMessages.error(e.getMessage())));
+        }
+    }
+
+    private Reply answer(StateRequest request) {
+        if (request instanceof Commit commit) {
+            return commit(commit);
+        } else if (request instanceof Get get) {
+            Entry entry = keys.get(get.key());
+            return entry == null
+                    ? new Reply(404, StateServiceMessages.revision(revision))
+                    : new Reply(200, StateServiceMessages.entry(entry));
+        } else if (request instanceof ListKeys list) {
+            return list(list);
+        } else if (request instanceof Grant grant) {
+            leases.put(nextLease, new Lease(grant.ttlS(), loop.now()));
+            return new Reply(200, StateServiceMessages.granted(nextLease++));
+        } else if (request instanceof Renew renew) {
+            Lease lease = leases.get(renew.lease());
+            if (lease == null) {
+                return new Reply(404, StateServiceMessages.revision(revision));
+            }
+            lease.renew(loop.now());
+        } else if (request instanceof Revoke revoke) {
+            end(revoke.lease());
+        }
+        return new Reply(200, StateServiceMessages.revision(revision));
+    }
+
+    private Reply list(ListKeys list) {
+        List<Entry> entries = new ArrayList<>();
+        int bytes = 0;
+        boolean more = false;
+        String from = list.after().isEmpty() ? list.prefix() : list.after();
+        for (Entry entry : keys.tailMap(from, list.after().isEmpty()).values()) {
+            if (!entry.key().startsWith(list.prefix())) {
+                break;
+            }
+            if (entries.size() == list.limit() || bytes > MAX_PAGE_BYTES) {
+                more = true;
+                break;
+            }
+            entries.add(entry);
+            bytes += Json.bytes(entry.value()).length + entry.key().length();
+        }
+        return new Reply(200, StateServiceMessages.page(entries, more, revision));
+    }
+
+    private Reply commit(Commit commit) {
+        String malformed = whyMalformed(commit);
+        if (malformed != null) {
+            return new Reply(400, StateServiceMessages.error(malformed));
+        }
+        boolean leaseEnded =
+                commit.writes().stream()
+                        .anyMatch(
+                                write -> write.lease() != 0 && !leases.containsKey(write.lease()));
+        if (leaseEnded) {
+            return new Reply(400, StateServiceMessages.noSuchLease());
+        }
+        List<String> failed =
+                commit.conditions().stream()
+                        .filter(condition -> version(condition.key()) != condition.version())
+                        .map(Condition::key)
+                        .toList();
+        if (!failed.isEmpty()) {
+            return new Reply(409, StateServiceMessages.failed(failed, revision));
+        }
+        if (!commit.writes().isEmpty()) {
+            revision++;
+            commit.writes().forEach(this::apply);
+            serveWatches();
+        }
+        return new Reply(200, StateServiceMessages.revision(revision));
+    }
+
+    private String whyMalformed(Commit commit) {
+        boolean large =
+                commit.writes().size() > writesPerCommit
+                        || commit.conditions().size() > CONDITIONS_PER_WRITE * writesPerCommit
+                        || commit.bytes() > MAX_COMMIT_BYTES;
+        boolean largeValue =
+                commit.writes().stream()
+                        .anyMatch(
+                                write ->
+                                        write.value() != null
+                                                && Json.bytes(write.value()).length > valueBytes);
+        if (large || largeValue) {
+            tooLarge++;
+            return large ? "transaction too large" : "value too large";
+        }
+        return null;
+    }
+
+    private long version(String key) {
+        Entry entry = keys.get(key);
+        return entry == null ? 0 : entry.version();
+    }
+
+    private void apply(Write write) {
+        if (write.value() == null) {
+            remove(write.key());
+        } else {
+            Entry entry = new Entry(write.key(), write.value(), revision, write.lease());
+            keys.put(write.key(), entry);
+            changed(new Change(write.key(), write.value(), revision));
+        }
+    }
+
+    private void remove(String key) {
+        if (keys.remove(key) != null) {
+            changed(new Change(key, null, revision));
+        }
+    }
+
+    private void changed(Change change) {
+        changes.add(change);
+        if (changes.size() > MOST_CHANGES_KEPT) {
+            oldestKept = changes.poll().version();
+        }
+    }
+
+    private void end(long lease) {
+        leases.remove(lease);
+        List<String> attached =
+                keys.values().stream()
+                        .filter(entry -> entry.lease() == lease)
+                        .map(Entry::key)
+                        .toList();
+        if (!attached.isEmpty()) {
+            revision++;
+            attached.forEach(this::remove);
+            serveWatches();
+        }
+    }
+
+    /** Leases do not run while the service is down. */
+    private void expire() {
+        if (down) {
+            return;
+        }
+        List<Long> ended =
+                leases.entrySet().stream()
+                        .filter(lease -> lease.getValue().endsAt < loop.now())
+                        .map(Map.Entry::getKey)
+                        .toList();
+        ended.forEach(this::end);
+    }
+
+    private void watch(String node, Watch request, Consumer<Reply> done) {
+        OpenWatch watch = new OpenWatch(node, request, done);
+        if (serve(watch, request.waitS() == 0)) {
+            return;
+        }
+        watches.add(watch);
+        loop.after(
+                request.waitS(),
+                () -> {
+                    watch.overdue = true;
+                    if (serve(watch, true)) {
+                        watches.remove(watch);
+                    }
+                });
+    }
+
+    private void serveWatches() {
+        for (OpenWatch watch : List.copyOf(watches)) {
+            if (serve(watch, watch.overdue)) {
+                watches.remove(watch);
+            }
+        }
+    }
+
+    private boolean serve(OpenWatch open, boolean evenIfEmpty) {
+        if (open.over || !serves(open.node)) {
+            return open.over;
+        }
+        Watch watch = open.watch;
+        if (watch.from() < oldestKept) {
+            open.over = true;
+            open.done.accept(new Reply(410, StateServiceMessages.revision(revision)));
+            return true;
+        }
+        List<Change> found = changesAfter(watch.from(), watch.prefix());
+        if (found.isEmpty() && !evenIfEmpty) {
+            return false;
+        }
+        open.over = true;
+        open.done.accept(new Reply(200, StateServiceMessages.changes(found, revision)));
+        return true;
+    }
+
+    /** From the latest back: a watch mostly asks for few of all that are kept. */
+    private List<Change> changesAfter(long from, String prefix) {
+        ArrayDeque<Change> found = new ArrayDeque<>();
+        var latestFirst = changes.descendingIterator();
+        while (latestFirst.hasNext()) {
+            Change change = latestFirst.next();
+            if (change.version() <= from) {
+                break;
+            }
+            if (change.key().startsWith(prefix)) {
+                found.addFirst(change);
+            }
+        }
+        return List.copyOf(found);
+    }
+}
--- a/src/main/java/org/springmill/protocol/TaskId.java
+++ b/src/main/java/org/springmill/protocol/TaskId.java
@@ -9,7 +9,7 @@
 public record TaskId(String job, int index) {
 
     /** Reads the form that {@link #toString} writes. */
-    static TaskId parse(String text) throws BadMessageException {
+    public static TaskId parse(String text) throws BadMessageException {
         int slash = text.lastIndexOf('/');
         try {
             String job = text.substring(0, slash);
--- /dev/null
+++ b/src/main/java/org/springmill/protocol/counterpart/UserSideMessages.java
@@ -0,0 +1,21 @@
+package org.springmill.protocol.counterpart;
+
+import java.util.Locale;
+import org.springmill.protocol.BadMessageException;
+import org.springmill.protocol.Json;
+import org.springmill.protocol.UserMessages.Phase;
+
+/** Answers to users, as they read them. */
+public final class UserSideMessages {
+    private UserSideMessages() {}
+
+    /** The phase of a job that an answer tells. */
+    public static Phase phase(byte[] body) throws BadMessageException {
+        String phase = Json.object(body).path("phase").asText();
+        try {
+            return Phase.valueOf(phase.toUpperCase(Locale.ROOT));
+        } catch (IllegalArgumentException e) {
+            throw new BadMessageException("no phase");
+        }
+    }
+}
--- a/src/test/java/org/springmill/architecture/LayersTest.java
+++ b/src/test/java/org/springmill/architecture/LayersTest.java
@@ -12,6 +12,7 @@
 /**
  * The layers of the program, from the bottom: transport and protocol, which know nothing of each
  * other, storage, job history, coordination, command line. A layer depends only on those below it.
+ * The emulator stands beside the controllers: it uses the lowest two layers alone.
  */
 @AnalyzeClasses(packages = "org.springmill", importOptions = ImportOption.DoNotIncludeTests.class)
 class LayersTest {
@@ -20,6 +21,7 @@
     private static final String STORAGE = "org.springmill.control.storage..";
     private static final String HISTORY = "org.springmill.control.history..";
     private static final String COORDINATION = "org.springmill.control.coordination..";
+    private static final String EMULATOR = "org.springmill.emulator..";
     private static final String COMMAND_LINE = "org.springmill.cli..";
 
     @ArchTest
@@ -36,18 +38,24 @@
                     .definedBy(HISTORY)
                     .layer("coordination")
                     .definedBy(COORDINATION)
+                    .layer("emulator")
+                    .definedBy(EMULATOR)
                     .layer("command line")
                     .definedBy(COMMAND_LINE)
                     .whereLayer("transport")
-                    .mayOnlyBeAccessedByLayers("storage", "history", "coordination", "command line")
+                    .mayOnlyBeAccessedByLayers(
+                            "storage", "history", "coordination", "emulator", "command line")
                     .whereLayer("protocol")
-                    .mayOnlyBeAccessedByLayers("storage", "history", "coordination", "command line")
+                    .mayOnlyBeAccessedByLayers(
+                            "storage", "history", "coordination", "emulator", "command line")
                     .whereLayer("storage")
                     .mayOnlyBeAccessedByLayers("history", "coordination", "command line")
                     .whereLayer("history")
                     .mayOnlyBeAccessedByLayers("coordination")
                     .whereLayer("coordination")
                     .mayOnlyBeAccessedByLayers("command line")
+                    .whereLayer("emulator")
+                    .mayOnlyBeAccessedByLayers("command line")
                     .whereLayer("command line")
                     .mayNotBeAccessedByAnyLayer();
 
@@ -56,7 +64,13 @@
             classes()
                     .should()
                     .resideInAnyPackage(
-                            TRANSPORT, PROTOCOL, STORAGE, HISTORY, COORDINATION, COMMAND_LINE);
+                            TRANSPORT,
+                            PROTOCOL,
+                            STORAGE,
+                            HISTORY,
+                            COORDINATION,
+                            EMULATOR,
+                            COMMAND_LINE);
 
     @ArchTest
     static final ArchRule packagesHaveNoCycles =
--- a/src/test/java/org/springmill/control/coordination/HistoryMoveTest.java
+++ b/src/test/java/org/springmill/control/coordination/HistoryMoveTest.java
@@ -15,6 +15,11 @@
     private static final int DONE = 1;
     private static final int CANCELLED = 2;
 
+    /** Shorter than operators may choose, so that a move overtakes a change on its way. */
+    private static final double SHORT_RETENTION_SECONDS = 1;
+
+    private static final double WATCH_DELAY_SECONDS = 9;
+
     @Test
     void movedJobsAreAnsweredByEveryControllerAndHeldByNone() {
         runToEnd(DONE);
@@ -169,23 +174,27 @@
      */
     @Test
     void anOldChangeReadAfterTheMoveBringsNothingBack() {
-        runToEnd(DONE);
-        int lagging = follower();
+        startCluster(new SimulatedCluster(1, OptionalDouble.of(SHORT_RETENTION_SECONDS)));
+        cluster.run(20);
+        int lagging = cluster.leader();
         cluster.network()
                 .delayAnswers(
                         (from, request) ->
                                 MessageMatchers.fromController(from, lagging)
                                                 && request.path().startsWith("/changes?under=job/")
                                                 && !request.path().endsWith("waitMs=0")
-                                        ? UNTIL_MOVED_SECONDS
+                                        ? WATCH_DELAY_SECONDS
                                         : 0);
-        submit(lagging, 2, job(CANCELLED, 1));
-        waitUntilMoved(DONE);
-        cluster.run(UNTIL_MOVED_SECONDS);
-        assertPhaseEverywhere("done", DONE, CANCELLED);
-        cluster.run(2 * UNTIL_MOVED_SECONDS);
+        submit(lagging, 0.1, job(DONE, 1));
+        for (int i = 0; i < 2 * WATCH_DELAY_SECONDS; i++) {
+            cluster.run(1);
+            cluster.phase(lagging, id(DONE));
+        }
+        assertMoved(DONE);
         assertEquals(0, gauge(lagging, "jobs"));
-        assertEachTaskStartedOnce(id(CANCELLED), 1);
+        cluster.run(30);
+        assertPhaseEverywhere("done", DONE);
+        assertEachTaskStartedOnce(id(DONE), 1);
     }
 
     /** A controller whose copy lags must not call a job unknown that others have told of. */
--- /dev/null
+++ b/src/test/java/org/springmill/control/coordination/HistoryPropertyTest.java
@@ -0,0 +1,238 @@
+package org.springmill.control.coordination;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertNotEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import com.fasterxml.jackson.databind.node.ArrayNode;
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import java.nio.charset.StandardCharsets;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.OptionalDouble;
+import java.util.Set;
+import net.jqwik.api.Arbitraries;
+import net.jqwik.api.Arbitrary;
+import net.jqwik.api.Combinators;
+import net.jqwik.api.ForAll;
+import net.jqwik.api.Property;
+import net.jqwik.api.Provide;
+import net.jqwik.api.ShrinkingMode;
+import org.springmill.sim.SimNetwork.Fate;
+import org.springmill.sim.SimulatedCluster;
+
+/**
+ * Random interleavings of what users, controllers, state service and network do, with records moved
+ * all along. No job is accepted twice, no final state is lost or changed, and nothing stays in
+ * memory. The simulated cluster checks the protocol's invariants meanwhile: no task runs twice, no
+ * accepted job is forgotten, no answer goes back.
+ */
+class HistoryPropertyTest {
+    private static final int CONTROLLERS = 3;
+    private static final double RETENTION_SECONDS = 30;
+
+    /** What happens in one step. */
+    private enum Kind {
+        SUBMIT,
+        SUBMIT_DEPENDENT,
+        RESUBMIT,
+        WITHDRAW,
+        QUERY,
+        RESTART,
+        KILL,
+        LAG,
+        HOLD_COMMITS,
+        DELAY_COMMITS,
+        OUTAGE,
+        REFUSE,
+        HEAL,
+        RELEASE,
+        WAIT
+    }
+
+    /**
+     * One step.
+     *
+     * @param controller at which it happens, or to which
+     * @param pick chooses among the jobs so far
+     * @param seconds that pass afterwards
+     */
+    private record Step(Kind kind, int controller, int pick, double seconds) {}
+
+    @Provide
+    Arbitrary<List<Step>> schedules() {
+        Arbitrary<Kind> kinds = Arbitraries.of(Kind.class);
+        Arbitrary<Integer> controllers = Arbitraries.integers().between(0, CONTROLLERS - 1);
+        Arbitrary<Integer> picks = Arbitraries.integers().between(0, 1000);
+        Arbitrary<Double> waits = Arbitraries.of(0.0, 0.02, 0.3, 2.0, 15.0);
+        return Combinators.combine(kinds, controllers, picks, waits)
+                .as(Step::new)
+                .list()
+                .ofMinSize(40)
+                .ofMaxSize(90);
+    }
+
+    @Property(tries = 60, seed = "20261202", shrinking = ShrinkingMode.BOUNDED)
+    void noJobIsAcceptedTwiceAndNoFinalStateIsLostOrChanged(
+            @ForAll("schedules") List<Step> schedule) {
+        new Run().play(schedule);
+    }
+
+    /** One cluster on which a schedule is played. */
+    private static final class Run {
+        private final SimulatedCluster cluster =
+                new SimulatedCluster(1, OptionalDouble.of(RETENTION_SECONDS))
+                        .machines("large", "a", 2)
+                        .machines("large", "b", 2)
+                        .run(20);
+        private final List<ObjectNode> jobs = new ArrayList<>();
+        private final Set<String> accepted = new HashSet<>();
+        private final Map<String, String> finalStates = new HashMap<>();
+
+        void play(List<Step> schedule) {
+            for (Step step : schedule) {
+                act(step);
+                cluster.run(step.seconds());
+            }
+            cluster.network().releaseHeld();
+            restartAll();
+            cluster.calm().run(30);
+            for (ObjectNode job : jobs) {
+                withdraw(0, idOf(job));
+                cluster.run(0.2);
+            }
+            cluster.run(180);
+            cluster.network().releaseHeld();
+            cluster.run(10);
+            assertEquals(List.of(), cluster.broken());
+            assertEquals(List.of(), cluster.startsAfterCancel());
+            jobs.forEach(this::assertOneFinalState);
+            assertNothingStaysInMemory();
+        }
+
+        private void act(Step step) {
+            int controller = step.controller();
+            switch (step.kind()) {
+                case SUBMIT -> submit(controller, newJob());
+                case SUBMIT_DEPENDENT -> submit(controller, newDependent(step.pick()));
+                case RESUBMIT -> withJob(step, job -> submit(controller, job));
+                case WITHDRAW -> withJob(step, job -> withdraw(controller, idOf(job)));
+                case QUERY -> withJob(step, job -> query(controller, idOf(job)));
+                case RESTART -> cluster.restart(controller);
+                case KILL -> cluster.kill(controller);
+                case LAG -> judge(controller, "/changes?under=job/", Fate.DROP);
+                case HOLD_COMMITS -> judge(controller, "/commit", Fate.HOLD);
+                case DELAY_COMMITS -> cluster.state().delayCommits(0.4);
+                case OUTAGE -> cluster.state().setDown(true);
+                case REFUSE -> cluster.state().refuse(controller, true);
+                case HEAL -> heal();
+                case RELEASE -> cluster.network().releaseHeld();
+                case WAIT -> cluster.run(RETENTION_SECONDS);
+            }
+        }
+
+        private void judge(int controller, String path, Fate fate) {
+            cluster.network()
+                    .judge(
+                            (from, request) ->
+                                    MessageMatchers.fromController(from, controller)
+                                                    && request.path().startsWith(path)
+                                            ? fate
+                                            : Fate.DELIVER);
+        }
+
+        private void heal() {
+            cluster.network().judge((from, request) -> Fate.DELIVER);
+            cluster.state().delayCommits(0);
+            cluster.state().setDown(false);
+            for (int controller = 0; controller < CONTROLLERS; controller++) {
+                cluster.state().refuse(controller, false);
+            }
+        }
+
+        private void restartAll() {
+            for (int controller = 0; controller < CONTROLLERS; controller++) {
+                cluster.restart(controller);
+            }
+        }
+
+        private ObjectNode newJob() {
+            String id = String.format("run-%06d", jobs.size() + 1);
+            ObjectNode job = SimulatedCluster.job(id, "red", "sweep", 1, 1, 1);
+            jobs.add(job);
+            return job;
+        }
+
+        private ObjectNode newDependent(int pick) {
+            ObjectNode needed = jobs.isEmpty() ? null : jobs.get(pick % jobs.size());
+            ObjectNode job = newJob();
+            if (needed != null && accepted.contains(idOf(needed))) {
+                ArrayNode names = job.putArray("waitsOn");
+                names.add(idOf(needed));
+            }
+            return job;
+        }
+
+        private void withJob(Step step, java.util.function.Consumer<ObjectNode> action) {
+            if (!jobs.isEmpty()) {
+                action.accept(jobs.get(step.pick() % jobs.size()));
+            }
+        }
+
+        private static String idOf(ObjectNode job) {
+            return job.path("nameId").asText();
+        }
+
+        private void submit(int controller, ObjectNode job) {
+            int status = cluster.submit(controller, job, 1);
+            if (status == 201) {
+                assertTrue(accepted.add(idOf(job)), idOf(job) + " is accepted a second time");
+            } else if (status == 200) {
+                accepted.add(idOf(job));
+            } else {
+                assertNotEquals(422, status, idOf(job));
+            }
+        }
+
+        private void withdraw(int controller, String id) {
+            note(id, cluster.withdraw(controller, id));
+        }
+
+        private void query(int controller, String id) {
+            note(id, cluster.phase(controller, id));
+        }
+
+        private void note(String id, String phase) {
+            if (phase.equals("done") || phase.equals("cancelled")) {
+                assertEquals(finalStates.computeIfAbsent(id, i -> phase), phase, id);
+            }
+        }
+
+        private void assertOneFinalState(ObjectNode job) {
+            String id = idOf(job);
+            for (int controller = 0; controller < CONTROLLERS; controller++) {
+                String phase = cluster.phase(controller, id);
+                boolean never = phase.equals("404") && !accepted.contains(id);
+                boolean over = phase.equals("done") || phase.equals("cancelled");
+                assertTrue(never || over, id + " is " + phase + " at " + controller);
+                note(id, phase);
+            }
+        }
+
+        private void assertNothingStaysInMemory() {
+            for (int controller = 0; controller < CONTROLLERS; controller++) {
+                cluster.run(1.1);
+                String metrics =
+                        new String(
+                                cluster.ask(controller, "GET", "/metrics", "").body(),
+                                StandardCharsets.UTF_8);
+                assertTrue(metrics.contains("springmill_jobs 0."), metrics);
+                assertTrue(metrics.contains("springmill_cancellations 0."), metrics);
+            }
+            assertEquals(List.of(), cluster.state().keysUnder("job/"));
+        }
+    }
+}
--- a/src/test/java/org/springmill/sim/SimulatedCluster.java
+++ b/src/test/java/org/springmill/sim/SimulatedCluster.java
@@ -61,7 +61,7 @@
         network.random(random.split());
         state.random(random.split());
         users = new SimUsers(clock, network, invariants, random);
-        state.tick();
+        state.start();
         for (int i = 0; i < SimSettings.CONTROLLERS; i++) {
             controllers[i] = newController(i);
         }
