--- a/src/main/java/org/springmill/cli/EmulateCommand.java
+++ b/src/main/java/org/springmill/cli/EmulateCommand.java
@@ -38,6 +38,14 @@
             description = "Folder for the controllers' settings and logs (${DEFAULT-VALUE}).")
     private Path logs;
 
+    @Option(
+            names = "--network",
+            defaultValue = "40",
+            description =
+                    "Second number of the loopback addresses, of which this and the next are used;"
+                            + " emulations beside each other need different ones (${DEFAULT-VALUE}).")
+    private int network;
+
     @Override
     public Integer call() {
         try {
@@ -53,7 +61,7 @@
 
     private int emulate(Scenario scenario) throws Exception {
         Files.createDirectories(logs);
-        try (Emulation emulation = new Emulation(scenario, logs, EmulateCommand::print)) {
+        try (Emulation emulation = new Emulation(scenario, network, logs, EmulateCommand::print)) {
             // Also when interrupted: no controller outlives its emulation.
             Runtime.getRuntime().addShutdownHook(new Thread(emulation::close));
             EmulationResult result = emulation.run();
--- a/src/main/java/org/springmill/control/coordination/Fleet.java
+++ b/src/main/java/org/springmill/control/coordination/Fleet.java
@@ -2,11 +2,9 @@
 
 import java.util.ArrayList;
 import java.util.Collection;
-import java.util.HashSet;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
-import java.util.Set;
 import org.springmill.control.storage.ImageLocations;
 import org.springmill.protocol.Submission;
 import org.springmill.protocol.WorkerMessages.Cause;
@@ -22,13 +20,23 @@
     /** A margin for slow members: what a gang has saved counts only if all of its members have. */
     private static final double GANG_SAVE_TIMES = 2;
 
+    /**
+     * Late copies of reports come up to some leases after they were sent. Taken for a machine that
+     * is up, a deleted one costs the work that is given to it some time, but breaks no rule.
+     */
+    private static final double LEASES_TO_REMEMBER_DELETED = 60;
+
     private final Map<String, Machine> machines = new LinkedHashMap<>();
     private final ClusterState clusterState;
     private final MachineTypeCatalog catalog;
     private final Loop loop;
     private final long term;
     private final double reportSeconds;
-    private final Set<String> deletedMachines = new HashSet<>();
+    private final double rememberDeletedSeconds;
+
+    /** When the deletion of each machine was confirmed, the earliest first. */
+    private final Map<String, Double> deletedMachines = new LinkedHashMap<>();
+
     private ImageLocations storedLocations = new ImageLocations();
 
     Fleet(
@@ -42,6 +50,7 @@
         this.loop = loop;
         this.term = term;
         this.reportSeconds = timing.reportS();
+        rememberDeletedSeconds = LEASES_TO_REMEMBER_DELETED * timing.leaseS();
     }
 
     /** A live view of all machines, in the order in which they were first heard of. */
@@ -87,12 +96,14 @@
 
     /** Notes that the cloud has confirmed that a machine and everything on it are gone. */
     void deleted(Machine machine) {
-        deletedMachines.add(machine.name());
+        double oldest = loop.now() - rememberDeletedSeconds;
+        deletedMachines.values().removeIf(deletedAt -> deletedAt < oldest);
+        deletedMachines.putIfAbsent(machine.name(), loop.now());
     }
 
     /** Whether a machine's deletion is confirmed, so that all that is still heard of it is old. */
     boolean wasDeleted(String name) {
-        return deletedMachines.contains(name);
+        return deletedMachines.containsKey(name);
     }
 
     /** Takes over what an earlier leader stored of the machines' images. */
--- a/src/main/java/org/springmill/emulator/Emulation.java
+++ b/src/main/java/org/springmill/emulator/Emulation.java
@@ -38,11 +38,12 @@
     /** The workers' loops are closed by then. */
     private static final double CLOSE_SECONDS = 0.5;
 
-    private static final int WORKER_NETWORK = 41;
-    private static final String CONTROLLER_HOST = "127.40.0.";
-    private static final String SERVICES_HOST = "127.40.1.1:";
+    private static final String LOOPBACK = "127.";
+    private static final String CONTROLLERS_NET = ".0.";
+    private static final String SERVICES_HOST = ".1.1:";
 
     private final Scenario scenario;
+    private final String host;
     private final Consumer<String> progress;
     private final Transport transport;
     private final Loop loop;
@@ -69,11 +70,15 @@
     /**
      * Puts an emulation together.
      *
+     * @param network second number of the loopback addresses of controllers and services; workers
+     *     have the next one
      * @param folder for the controllers' settings and logs
      * @param progress takes a line every few seconds
      */
-    public Emulation(Scenario scenario, Path folder, Consumer<String> progress) throws IOException {
+    public Emulation(Scenario scenario, int network, Path folder, Consumer<String> progress)
+            throws IOException {
         this.scenario = scenario;
+        host = LOOPBACK + network;
         this.progress = progress;
         SplittableRandom random = new SplittableRandom(scenario.seed());
         transport = new Transport(MAX_SOCKETS, Set.of());
@@ -84,7 +89,7 @@
         stateFront = new StateServiceFront(loop, state, scenario.state(), measurements);
         List<Node> nodes = nodes();
         List<String> addresses = nodes.stream().map(Node::api).toList();
-        fleet = new HollowFleet(environment(nodes, addresses), random.split(), WORKER_NETWORK);
+        fleet = new HollowFleet(environment(nodes, addresses), random.split(), network + 1);
         cloud = new HollowCloud(loop, scenario, fleet);
         List<HttpClient> clients = new ArrayList<>();
         for (int i = 0; i < scenario.users().clients(); i++) {
@@ -100,16 +105,17 @@
                         rules,
                         measurements,
                         random.split());
-        int statePort = transport.serve(SERVICES_HOST + 0, stateFront);
-        int cloudPort = transport.serve(SERVICES_HOST + 0, this::serveCloud);
+        String services = host + SERVICES_HOST;
+        int statePort = transport.serve(services + 0, stateFront);
+        int cloudPort = transport.serve(services + 0, this::serveCloud);
         controllers =
                 new ControllerGroup(
                         loop,
                         transport.newClient(USER_SOCKETS),
                         scenario,
                         nodes,
-                        SERVICES_HOST + cloudPort,
-                        SERVICES_HOST + statePort,
+                        services + cloudPort,
+                        services + statePort,
                         folder);
         faults = new FaultInjector(loop, scenario, fleet, state, controllers, rules);
     }
@@ -118,13 +124,13 @@
         List<Node> nodes = new ArrayList<>();
         List<String> zones = scenario.zoneNames();
         for (int i = 0; i < scenario.controllers().number(); i++) {
-            String host = CONTROLLER_HOST + (i + 1) + ":";
+            String address = host + CONTROLLERS_NET + (i + 1) + ":";
             nodes.add(
                     new Node(
                             "controller-" + i,
                             zones.get(i % zones.size()),
-                            host + FreePorts.next(),
-                            host + FreePorts.next()));
+                            address + FreePorts.next(),
+                            address + FreePorts.next()));
         }
         return nodes;
     }
--- /dev/null
+++ b/src/test/java/org/springmill/control/coordination/DeletedMachinesTest.java
@@ -0,0 +1,31 @@
+package org.springmill.control.coordination;
+
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import org.junit.jupiter.api.Test;
+import org.springmill.protocol.Settings;
+import org.springmill.protocol.SettingsFixtures;
+import org.springmill.sim.VirtualClock;
+
+/** A leader of many months must not keep the name of every machine that it ever deleted. */
+class DeletedMachinesTest {
+    private static final double LEASE_SECONDS = 14;
+
+    private final VirtualClock clock = new VirtualClock();
+
+    @Test
+    void aDeletedMachineIsRememberedForLongerThanLateReportsTakeAndThenForgotten() {
+        Settings settings = SettingsFixtures.small();
+        Fleet fleet = new Fleet(new ClusterState(settings), null, clock, Timing.of(settings), 1);
+        fleet.deleted(new Machine("host-000001", 1, clock.now()));
+        clock.run(10 * LEASE_SECONDS);
+        fleet.deleted(new Machine("host-000002", 1, clock.now()));
+        assertTrue(fleet.wasDeleted("host-000001"));
+        clock.run(55 * LEASE_SECONDS);
+        fleet.deleted(new Machine("host-000003", 1, clock.now()));
+        assertFalse(fleet.wasDeleted("host-000001"));
+        assertTrue(fleet.wasDeleted("host-000002"));
+        assertTrue(fleet.wasDeleted("host-000003"));
+    }
+}
