--- a/src/main/java/org/springmill/cli/TrainArchiveCommand.java
+++ b/src/main/java/org/springmill/cli/TrainArchiveCommand.java
@@ -9,12 +9,12 @@
 import org.springmill.protocol.ArchiveTrainingMessages;
 import org.springmill.protocol.ArchiveTrainingMessages.Answer;
 import org.springmill.protocol.BadMessageException;
-import org.springmill.protocol.SettingsFile;
 import org.springmill.protocol.UserMessages;
 import org.springmill.protocol.WorkerMessages;
 import org.springmill.transport.HttpClient.Request;
 import org.springmill.transport.HttpHandler;
 import org.springmill.transport.Transport;
+import picocli.CommandLine;
 import picocli.CommandLine.Command;
 
 /**
@@ -83,7 +83,8 @@
             world = new ArchiveTrainingMessages("127.0.0.1:" + port);
             int api = freePort();
             Files.writeString(file, SETTINGS.formatted(api, "127.0.0.1:" + port));
-            RunCommand.start(SettingsFile.read(file, null));
+            // By the real command line, which has classes of its own that a start needs.
+            new CommandLine(new Main()).execute("run", "--config", file.toString());
             visit(around, "127.0.0.1:" + api, 0);
             Thread.sleep((long) ((STEPS + 2) * STEP_S * 1000));
         } finally {
--- a/src/main/java/org/springmill/emulator/HollowUsers.java
+++ b/src/main/java/org/springmill/emulator/HollowUsers.java
@@ -191,7 +191,7 @@
                 loop.after(random.nextDouble() * jobClass.rampS(), () -> submit(jobClass));
             }
             if (jobClass.perMinute() > 0) {
-                loop.after(interval(jobClass), () -> submitOnAndOn(jobClass));
+                submitOnAndOn(jobClass, loop.now() + interval(jobClass));
             }
         }
     }
@@ -205,10 +205,16 @@
         return -Math.log(1 - random.nextDouble()) * 60 / jobClass.perMinute();
     }
 
-    private void submitOnAndOn(JobClass jobClass) {
-        if (!stopped) {
+    /** Keeps to the rate also when timers fire late: what is due by then is submitted together. */
+    private void submitOnAndOn(JobClass jobClass, double firstAt) {
+        double nextAt = firstAt;
+        while (!stopped && nextAt <= loop.now()) {
             submit(jobClass);
-            loop.after(interval(jobClass), () -> submitOnAndOn(jobClass));
+            nextAt += interval(jobClass);
+        }
+        if (!stopped) {
+            double at = nextAt;
+            loop.after(at - loop.now(), () -> submitOnAndOn(jobClass, at));
         }
     }
 
