--- a/src/main/java/org/springmill/control/coordination/JobDirectory.java
+++ b/src/main/java/org/springmill/control/coordination/JobDirectory.java
@@ -256,10 +256,6 @@
      */
     void learn(Cancellation reported) {
         JobRecord known = jobs.get(reported.job());
-        if (known == null && feed.loaded() && reported.revision() <= feed.cursor()) {
-            // Its record has been moved: nothing of it is left to be stopped.
-            return;
-        }
         boolean isNew = cancellations.add(reported);
         if (known == null) {
             unread.put(reported.job(), reported);
--- a/src/test/java/org/springmill/control/coordination/HistoryMoveTest.java
+++ b/src/test/java/org/springmill/control/coordination/HistoryMoveTest.java
@@ -73,6 +73,22 @@
         assertMoved(CANCELLED);
     }
 
+    /** Another controller tells of a cancellation whose record was moved long ago. */
+    @Test
+    void aCancellationToldAfterTheMoveIsNotKept() {
+        submit(follower(), FOREVER, job(CANCELLED, 1));
+        cluster.holdPeerMessages();
+        assertEquals("cancelled", cluster.withdraw(follower(), id(CANCELLED)));
+        cluster.run(2 * UNTIL_MOVED_SECONDS);
+        assertMoved(CANCELLED);
+        cluster.releasePeerMessages();
+        cluster.run(UNTIL_MOVED_SECONDS);
+        assertMoved(CANCELLED);
+        for (int controller = 0; controller < CONTROLLERS; controller++) {
+            assertEquals(0, gauge(controller, "cancellations"));
+        }
+    }
+
     /** A job once moved is answered, whatever becomes of its team or of the machine types. */
     @Test
     void aResubmissionThatWouldBeImpossibleNowGetsTheFinalState() {
--- a/src/test/java/org/springmill/measure/HistoryMeasurement.java
+++ b/src/test/java/org/springmill/measure/HistoryMeasurement.java
@@ -43,7 +43,11 @@
     private static final int[] COUNTS = {10_000, 50_000, 100_000, 400_000};
     private static final int BATCH = 32;
     private static final String HOST = "127.0.0.1:";
-    private static final double READY_WITHIN_SECONDS = 90;
+    private static final double READY_WITHIN_SECONDS = 20;
+    private static final String TYPES =
+            "{\"frames\":[{\"sku\":\"m\",\"vcpus\":64,\"cards\":8,\"memGb\":256,\"localGb\":900,"
+                    + "\"pullGbPerS\":1.0,\"price\":1.0,\"marketPrice\":0.5,\"bootS\":30,"
+                    + "\"yards\":[\"a\"]}]}";
     private static final Pattern USED = Pattern.compile("total \\d+K, used (\\d+)K");
     private static final String RECORD =
             "{\"nameId\":\"run-%06d\",\"grist\":\"storm-sweep\",\"crew\":\"team-001\","
@@ -116,7 +120,7 @@
     private static void answerCloud(Call call) {
         String text =
                 call.path().equals("/machine_types")
-                        ? "{\"frames\":[]}"
+                        ? TYPES
                         : "{\"stones\":[],\"truncated\":false}";
         call.reply(200, text.getBytes(StandardCharsets.UTF_8), 0);
     }
