Placement: a full round looks no further, nor is work stopped for jobs that it did not come to

Cause: at the target size (2,200 workers, emulated) the leader stood still for 3 to 5 s and lost its lease about every 11 s after a 30 s outage of the state service: 19,091 of 43,141 tasks ran 60 s after its end. Thread samples show Preemption ranking all machines, with the work to be stopped on each, for every waiting job of a higher priority; and Placement ranked them for every waiting job although the round was full.

Change: a job that the full round does not come to, or that its team's limit holds back, is not ranked; preemption looks only at jobs that were come to and for which the limit leaves room; where a task fits without stopping anything, candidates are not sorted.

--- a/src/main/java/org/springmill/control/coordination/Placement.java
+++ b/src/main/java/org/springmill/control/coordination/Placement.java
@@ -3,8 +3,10 @@
 import java.util.ArrayList;
 import java.util.Comparator;
 import java.util.HashMap;
+import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
+import java.util.Set;
 import org.springmill.control.storage.Claim;
 import org.springmill.protocol.TaskId;
 
@@ -13,6 +15,9 @@
     private final Fleet fleet;
     private final Timing timing;
 
+    /** Jobs that the last round was full before it came to. */
+    private final Set<Job> unreached = new HashSet<>();
+
     private final Reservations reservations;
     private MachineScore score;
 
@@ -74,6 +79,7 @@
         double now = fleet.now();
         List<Attempt> placed = new ArrayList<>();
         fleet.clusterState().releaseHeld();
+        unreached.clear();
         List<Job> waiting = waiting();
         reservations.update(waiting, now);
         if (waiting.isEmpty()) {
@@ -87,6 +93,13 @@
             if (now < job.notBefore()) {
                 continue;
             }
+            if (placed.size() >= most && !job.spec().gang()) {
+                unreached.add(job);
+                continue;
+            }
+            if (!job.spec().gang() && !usage(job).allows(job.spec())) {
+                continue;
+            }
             MachineRanking ranking =
                     new MachineRanking(open, machine -> placingCost(job, machine, now));
             if (job.spec().gang()) {
@@ -106,6 +119,15 @@
         return placed;
     }
 
+    /**
+     * Whether the last round was full before it came to a job. Nothing shows then that there is no
+     * place for it. Ranking all machines for each job of a long queue, of which a round takes the
+     * first few, held the leader up for seconds after an outage with two thousand machines.
+     */
+    boolean unreached(Job job) {
+        return unreached.contains(job);
+    }
+
     private boolean placeNext(Job job, MachineRanking ranking, long round, List<Attempt> placed) {
         Machine machine = ranking.best();
         if (machine == null) {
--- a/src/main/java/org/springmill/control/coordination/Preemption.java
+++ b/src/main/java/org/springmill/control/coordination/Preemption.java
@@ -49,7 +49,7 @@
             if (job.spec().service() && wanted > 0) {
                 usage(job).hold(job.spec(), job.waiting());
             }
-            if (!mayStopAny(job)) {
+            if (wanted <= 0 || placement.unreached(job) || !mayStopAny(job)) {
                 continue;
             }
             int guaranteed = usage(job).guaranteedRoomFor(job.spec());
@@ -140,6 +140,9 @@
                 candidates.add(attempt);
             }
         }
+        if (free.hold(job.spec())) {
+            return List.of();
+        }
         candidates.sort(
                 Comparator.comparing((Attempt a) -> a.job().priority())
                         .reversed()
--- /dev/null
+++ b/src/test/java/org/springmill/control/coordination/FullRoundTest.java
@@ -0,0 +1,97 @@
+package org.springmill.control.coordination;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.util.ArrayList;
+import java.util.List;
+import org.junit.jupiter.api.Test;
+import org.springmill.protocol.Settings;
+import org.springmill.protocol.SettingsFixtures;
+import org.springmill.protocol.Submission;
+import org.springmill.protocol.WorkerMessages.Report;
+import org.springmill.sim.VirtualClock;
+
+/**
+ * Which jobs a round that is full has not come to. A leader that ranked thousands of machines for
+ * each of a thousand such jobs, and looked for work to preempt, stood still for seconds and lost
+ * its lease, again and again: after an outage of the state service at the target size.
+ */
+class FullRoundTest {
+    private static final Settings SETTINGS = SettingsFixtures.small();
+    private static final int JOBS = 3;
+
+    /** Of the first term, which the fleet has. */
+    private static final long TOKEN = 1L << 20;
+
+    private final VirtualClock clock = new VirtualClock();
+    private final Timing timing = Timing.of(SETTINGS);
+    private final ClusterState clusterState = new ClusterState(SETTINGS);
+    private final Fleet fleet = new Fleet(clusterState, null, clock, timing, 1);
+    private final Placement placement = new Placement(fleet, timing);
+    private final List<Job> jobs = new ArrayList<>();
+
+    private void machineIsUp() {
+        Machine machine = fleet.machine("host-000001");
+        machine.describe("a:1", PackingFixtures.type("t", 1, "a"), "a", false);
+        machine.transition(Machine.State.UP);
+        Report report =
+                new Report("host-000001", "a:1", "t", "a", false, 1, 1, TOKEN, null, List.of());
+        machine.take(report, clock.now());
+    }
+
+    private void jobsWait() {
+        for (int i = 0; i < JOBS; i++) {
+            Submission like = PackingFixtures.job(1).size(0, 0, 0).build();
+            Job job = new Job(named(like, "run-00000" + i), i + 1);
+            jobs.add(job);
+            clusterState.add(job);
+        }
+    }
+
+    private static Submission named(Submission like, String id) {
+        return new Submission(
+                id,
+                like.jobClass(),
+                like.team(),
+                like.shape(),
+                like.priority(),
+                like.tasks(),
+                like.cpus(),
+                like.gpus(),
+                like.memoryGb(),
+                like.image(),
+                like.imageGb(),
+                like.types(),
+                like.zone(),
+                like.oneZone(),
+                like.spread(),
+                like.spot(),
+                like.estimateS(),
+                like.checkpointS(),
+                like.saveS(),
+                like.deadlineS(),
+                like.dependencies());
+    }
+
+    @Test
+    void jobsBeyondAFullRoundAreUnreachedAndTheNextRoundComesToThem() {
+        machineIsUp();
+        jobsWait();
+        assertEquals(1, placement.place(1, 1).size());
+        assertFalse(placement.unreached(jobs.get(0)));
+        assertTrue(placement.unreached(jobs.get(1)));
+        assertTrue(placement.unreached(jobs.get(2)));
+        assertEquals(2, placement.place(2, 96).size());
+        jobs.forEach(job -> assertFalse(placement.unreached(job)));
+    }
+
+    /** A job that finds no place was come to, and work may be stopped for it. */
+    @Test
+    void aJobWithoutAPlaceWasReached() {
+        jobsWait();
+        assertEquals(0, placement.place(1, 1).size());
+        jobs.forEach(job -> assertFalse(placement.unreached(job)));
+    }
+}
