History: one view of a dependency, one answer from a lookup; HCL files are read in one place

Need: whether a job that others need is in memory or moved was decided four times in JobDependencies; three handlers had the same switch over a lookup; scenarios and operators' settings read HCL with the same code; some sizes were never asked for, and a copy of all missing dependencies was made to look at the first.

Change: JobDependencies.dependency, JobAnswers.lookedUp and protocol.HclFile serve all of them; the dead code is gone. Behaviour is the same.

--- a/src/main/java/org/springmill/control/coordination/JobAnswers.java
+++ b/src/main/java/org/springmill/control/coordination/JobAnswers.java
@@ -1,6 +1,8 @@
 package org.springmill.control.coordination;
 
+import java.util.function.Consumer;
 import java.util.function.Function;
+import org.springmill.control.history.EndedJobs.Lookup;
 import org.springmill.control.storage.EndedJob;
 import org.springmill.control.storage.JobRecord;
 import org.springmill.protocol.PeerMessages.JobProgress;
@@ -66,6 +68,15 @@
         return known != null && known.running() > 0 ? Phase.RUNNING : Phase.QUEUED;
     }
 
+    /** Answers from a lookup of a moved job; 503 if that was not served. */
+    static void lookedUp(Call call, Lookup lookup, Consumer<EndedJob> found, Runnable absent) {
+        switch (lookup.outcome()) {
+            case FOUND -> found.accept(lookup.job());
+            case ABSENT -> absent.run();
+            case UNAVAILABLE -> unavailable(call, STATE_SERVICE_SILENT);
+        }
+    }
+
     /** Answers 404: the job was never accepted. */
     static void notFound(Call call) {
         call.reply(404, UserMessages.error("no such job"), 0);
--- a/src/main/java/org/springmill/control/coordination/JobDependencies.java
+++ b/src/main/java/org/springmill/control/coordination/JobDependencies.java
@@ -122,19 +122,35 @@
         }
     }
 
+    /**
+     * A job that others need, from its record in memory or from its moved one.
+     *
+     * @param revision of its latest change, and so of its end if it has ended
+     */
+    private record Dependency(Phase phase, boolean service, double endedAt, long revision) {}
+
+    /** Null if neither record is known here. */
+    private Dependency dependency(String id) {
+        JobRecord job = jobs.get(id);
+        if (job != null) {
+            return new Dependency(
+                    job.phase(), job.submission().service(), job.endedAt(), job.version());
+        }
+        EndedJob gone = moved.of(id);
+        return gone == null
+                ? null
+                : new Dependency(gone.phase(), gone.service(), gone.endedAt(), gone.endRevision());
+    }
+
     private JobRecord inEffect(JobRecord stored) {
         if (stored.cancelled()) {
             return stored;
         }
         for (String id : stored.submission().dependencies()) {
-            JobRecord needed = jobs.get(id);
-            EndedJob gone = needed == null ? moved.of(id) : null;
-            if (needed != null && needed.cancelled()) {
+            Dependency needed = dependency(id);
+            if (needed != null && needed.phase() == Phase.CANCELLED) {
                 return cancelledWith(stored, id, needed.endedAt());
             }
-            if (gone != null && gone.cancelled()) {
-                return cancelledWith(stored, id, gone.endedAt());
-            }
         }
         return stored;
     }
@@ -174,14 +190,12 @@
 
     /** Jobs that a submission names and of which nothing is in memory. */
     List<String> unknown(Submission submission) {
-        return submission.dependencies().stream()
-                .filter(id -> !jobs.containsKey(id) && moved.of(id) == null)
-                .toList();
+        return submission.dependencies().stream().filter(id -> dependency(id) == null).toList();
     }
 
-    /** Jobs whose final state some record in memory needs and that has to be read. */
-    Collection<String> missing() {
-        return moved.missing();
+    /** The job whose final state is to be read next, for a record in memory; null if none is. */
+    String firstMissing() {
+        return moved.firstMissing();
     }
 
     /**
@@ -205,20 +219,14 @@
         return jobs.get(id).active() || pendingPersistence.contains(id);
     }
 
-    /** Entries that are held for dependencies of records in memory; bounded by those. */
-    int size() {
-        return dependents.size() + moved.size() + pendingPersistence.size();
-    }
-
     /** Why a job cannot wait for its dependencies, as far as is known here; null if it can. */
     String refusal(Submission submission) {
         for (String id : submission.dependencies()) {
-            JobRecord needed = jobs.get(id);
-            EndedJob gone = needed == null ? moved.of(id) : null;
-            if (needed == null && gone == null) {
+            Dependency needed = dependency(id);
+            if (needed == null) {
                 return "needs " + id + ", which was never accepted";
             }
-            if (needed == null ? gone.service() : needed.submission().service()) {
+            if (needed.service()) {
                 return "needs " + id + ", a service, which is never done";
             }
         }
@@ -231,27 +239,19 @@
      */
     boolean ready(Submission submission) {
         for (String id : submission.dependencies()) {
-            JobRecord needed = jobs.get(id);
-            EndedJob gone = needed == null ? moved.of(id) : null;
-            boolean done = needed == null ? isDone(gone) : needed.phase() == Phase.DONE;
-            if (!done) {
+            Dependency needed = dependency(id);
+            if (needed == null || needed.phase() != Phase.DONE) {
                 return false;
             }
         }
         return true;
     }
 
-    private static boolean isDone(EndedJob job) {
-        return job != null && !job.cancelled();
-    }
-
     /** Revision at which a ready job became so: that of the last end among what it needs. */
     long readySince(Submission submission) {
         long since = 0;
         for (String id : submission.dependencies()) {
-            JobRecord needed = jobs.get(id);
-            long endedAt = needed == null ? moved.of(id).endRevision() : needed.version();
-            since = Math.max(since, endedAt);
+            since = Math.max(since, dependency(id).revision());
         }
         return since;
     }
--- a/src/main/java/org/springmill/control/coordination/JobDirectory.java
+++ b/src/main/java/org/springmill/control/coordination/JobDirectory.java
@@ -146,17 +146,10 @@
         endedJobs.find(
                 ids.get(0),
                 lookup -> {
-                    boolean inTime = loop.now() < until;
-                    switch (lookup.outcome()) {
-                        case FOUND -> {
-                            if (inTime) {
-                                findAllMoved(ids.subList(1, ids.size()), until, done);
-                            } else {
-                                done.accept(false);
-                            }
-                        }
-                        case ABSENT -> done.accept(true);
-                        case UNAVAILABLE -> done.accept(false);
+                    if (lookup.outcome() == Outcome.FOUND && loop.now() < until) {
+                        findAllMoved(ids.subList(1, ids.size()), until, done);
+                    } else {
+                        done.accept(lookup.outcome() == Outcome.ABSENT);
                     }
                 });
     }
@@ -177,12 +170,12 @@
 
     /** One at a time: there are hardly ever any, and a takeover must not wait for them. */
     private void lookUpDependencies() {
-        if (lookingUp || !feed.loaded() || dependencies.missing().isEmpty()) {
+        String id = dependencies.firstMissing();
+        if (lookingUp || !feed.loaded() || id == null) {
             return;
         }
         lookingUp = true;
-        String id = dependencies.missing().iterator().next();
-        endedJobs.find(id, lookup -> dependencyLookedUp(lookup));
+        endedJobs.find(id, this::dependencyLookedUp);
     }
 
     private void dependencyLookedUp(Lookup lookup) {
--- a/src/main/java/org/springmill/control/coordination/JobQueryHandler.java
+++ b/src/main/java/org/springmill/control/coordination/JobQueryHandler.java
@@ -50,10 +50,10 @@
     }
 
     private static void answerMoved(Call call, Lookup lookup) {
-        switch (lookup.outcome()) {
-            case FOUND -> JobAnswers.progress(call, lookup.job());
-            case ABSENT -> JobAnswers.notFound(call);
-            case UNAVAILABLE -> JobAnswers.unavailable(call, JobAnswers.STATE_SERVICE_SILENT);
-        }
+        JobAnswers.lookedUp(
+                call,
+                lookup,
+                job -> JobAnswers.progress(call, job),
+                () -> JobAnswers.notFound(call));
     }
 }
--- a/src/main/java/org/springmill/control/coordination/MovedDependencies.java
+++ b/src/main/java/org/springmill/control/coordination/MovedDependencies.java
@@ -1,9 +1,7 @@
 package org.springmill.control.coordination;
 
-import java.util.Collection;
 import java.util.HashMap;
 import java.util.LinkedHashSet;
-import java.util.List;
 import java.util.Map;
 import java.util.Set;
 import java.util.function.Function;
@@ -54,17 +52,12 @@
         found.remove(id);
     }
 
-    /** Jobs whose final state has to be read, the first one needed first. */
-    Collection<String> missing() {
-        return List.copyOf(missing);
+    /** The job whose final state has been needed for longest; null if none is. */
+    String firstMissing() {
+        return missing.isEmpty() ? null : missing.iterator().next();
     }
 
     boolean anyMissing() {
         return !missing.isEmpty();
     }
-
-    /** Final states held for records in memory. */
-    int size() {
-        return found.size() + missing.size();
-    }
 }
--- a/src/main/java/org/springmill/control/coordination/SubmissionHandler.java
+++ b/src/main/java/org/springmill/control/coordination/SubmissionHandler.java
@@ -3,7 +3,6 @@
 import java.util.List;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
-import org.springmill.control.history.EndedJobs;
 import org.springmill.control.history.EndedJobs.Lookup;
 import org.springmill.control.storage.EndedJob;
 import org.springmill.control.storage.JobRecord;
@@ -77,7 +76,7 @@
     }
 
     private void submit(Call call, Submission submission) {
-        if (directory.get(submission.id()) != null || directory.moved(submission.id()) != null) {
+        if (!unknown(submission.id())) {
             answerKnown(call, submission.id());
             return;
         }
@@ -158,15 +157,18 @@
 
     /** A repeated submission of an accepted job is never refused, however long ago it ended. */
     private static void refuse(Call call, Lookup lookup, String reason) {
-        switch (lookup.outcome()) {
-            case FOUND -> JobAnswers.phase(call, lookup.job());
-            case ABSENT -> JobAnswers.impossible(call, reason);
-            case UNAVAILABLE -> JobAnswers.unavailable(call, JobAnswers.STATE_SERVICE_SILENT);
-        }
+        JobAnswers.lookedUp(
+                call,
+                lookup,
+                job -> JobAnswers.phase(call, job),
+                () -> JobAnswers.impossible(call, reason));
     }
 
     private boolean unknown(Pending submitted) {
-        String id = submitted.job().id();
+        return unknown(submitted.job().id());
+    }
+
+    private boolean unknown(String id) {
         return directory.get(id) == null && directory.moved(id) == null;
     }
 
@@ -270,10 +272,10 @@
     }
 
     private static void answerMoved(Call call, Lookup lookup) {
-        if (lookup.outcome() == EndedJobs.Outcome.FOUND) {
-            JobAnswers.phase(call, lookup.job());
-        } else {
-            JobAnswers.unavailable(call, JobAnswers.STATE_SERVICE_SILENT);
-        }
+        JobAnswers.lookedUp(
+                call,
+                lookup,
+                job -> JobAnswers.phase(call, job),
+                () -> JobAnswers.unavailable(call, JobAnswers.STATE_SERVICE_SILENT));
     }
 }
--- a/src/main/java/org/springmill/control/coordination/WithdrawalHandler.java
+++ b/src/main/java/org/springmill/control/coordination/WithdrawalHandler.java
@@ -79,11 +79,8 @@
 
     /** A job that was moved is over: its cancellation, if it was cancelled, is known to all. */
     private static void answerMoved(Call call, Lookup lookup) {
-        switch (lookup.outcome()) {
-            case FOUND -> JobAnswers.phase(call, lookup.job());
-            case ABSENT -> JobAnswers.notFound(call);
-            case UNAVAILABLE -> JobAnswers.unavailable(call, JobAnswers.STATE_SERVICE_SILENT);
-        }
+        JobAnswers.lookedUp(
+                call, lookup, job -> JobAnswers.phase(call, job), () -> JobAnswers.notFound(call));
     }
 
     private void cancel(Call call, JobRecord job, double answerBy) {
--- a/src/main/java/org/springmill/control/history/HistoryMembers.java
+++ b/src/main/java/org/springmill/control/history/HistoryMembers.java
@@ -1,5 +1,6 @@
 package org.springmill.control.history;
 
+import java.util.List;
 import java.util.Set;
 import java.util.function.BooleanSupplier;
 import java.util.stream.Collectors;
@@ -70,7 +71,7 @@
             loop.after(retryS, this::register);
         } else if (read.entry() == null) {
             Write write = Write.put(key(node), Json.newObject().put("v", FORMAT));
-            store.commit(java.util.List.of(), java.util.List.of(write), this::registered);
+            store.commit(List.of(), List.of(write), this::registered);
         } else {
             checkOthers();
         }
--- a/src/main/java/org/springmill/emulator/JobRegistry.java
+++ b/src/main/java/org/springmill/emulator/JobRegistry.java
@@ -23,8 +23,4 @@
     EmulatedJob find(String id) {
         return jobs.get(id);
     }
-
-    void remove(String id) {
-        jobs.remove(id);
-    }
 }
--- a/src/main/java/org/springmill/emulator/ScenarioFile.java
+++ b/src/main/java/org/springmill/emulator/ScenarioFile.java
@@ -1,7 +1,5 @@
 package org.springmill.emulator;
 
-import com.bertramlabs.plugins.hcl4j.HCLParser;
-import com.bertramlabs.plugins.hcl4j.HCLParserException;
 import com.fasterxml.jackson.databind.JsonNode;
 import com.fasterxml.jackson.dataformat.toml.TomlMapper;
 import java.io.IOException;
@@ -24,6 +22,7 @@
 import org.springmill.emulator.Scenario.Teams;
 import org.springmill.emulator.Scenario.Users;
 import org.springmill.emulator.Scenario.Workers;
+import org.springmill.protocol.HclFile;
 import org.springmill.protocol.Priority;
 import org.springmill.protocol.SettingsException;
 import org.springmill.protocol.Shape;
@@ -49,23 +48,12 @@
      */
     public static Scenario read(Path file) throws SettingsException {
         ScenarioFile scenario = new ScenarioFile(file);
-        Block root = new Block(file, "", scenario.parse());
+        Block root = new Block(file, "", HclFile.read(file, "--scenario"));
         Scenario read = scenario.scenario(root);
         root.refuseUnknown();
         return read;
     }
 
-    private Map<String, Object> parse() throws SettingsException {
-        try {
-            return new HCLParser().parse(Files.readString(file));
-        } catch (HCLParserException | RuntimeException e) {
-            throw new SettingsException(file, "not valid HCL: " + e.getMessage());
-        } catch (IOException e) {
-            throw new SettingsException(
-                    file, "cannot be read; name an existing HCL file with --scenario");
-        }
-    }
-
     private Scenario scenario(Block root) throws SettingsException {
         String fileName = file.getFileName().toString();
         Scenario scenario =
--- a/src/main/java/org/springmill/protocol/OperatorSettingsFile.java
+++ b/src/main/java/org/springmill/protocol/OperatorSettingsFile.java
@@ -1,9 +1,5 @@
 package org.springmill.protocol;
 
-import com.bertramlabs.plugins.hcl4j.HCLParser;
-import com.bertramlabs.plugins.hcl4j.HCLParserException;
-import java.io.IOException;
-import java.nio.file.Files;
 import java.nio.file.Path;
 import java.util.Map;
 import java.util.OptionalDouble;
@@ -44,22 +40,12 @@
     }
 
     static OperatorSettings read(Path file) throws SettingsException {
-        OperatorSettingsFile settings = new OperatorSettingsFile(file, parse(file));
+        OperatorSettingsFile settings =
+                new OperatorSettingsFile(file, HclFile.read(file, "--operator"));
         settings.checkNames();
         return settings.values();
     }
 
-    private static Map<String, Object> parse(Path file) throws SettingsException {
-        try {
-            return new HCLParser().parse(Files.readString(file));
-        } catch (HCLParserException | RuntimeException e) {
-            throw new SettingsException(file, "not valid HCL: " + e.getMessage());
-        } catch (IOException e) {
-            throw new SettingsException(
-                    file, "cannot be read; name an existing HCL file with --operator");
-        }
-    }
-
     private void checkNames() throws SettingsException {
         for (Map.Entry<String, Object> block : blocks.entrySet()) {
             String name = block.getKey();
