History: a dependency that is never found no longer keeps others from being read

Cause: lookups of moved dependencies always took the first that was missing; one that is in neither place, such as a record that cannot be read, was looked up for ever and no other after it.

Change: what is not found goes behind the others. MovedDependenciesTest guards it.

--- a/src/main/java/org/springmill/control/coordination/JobDependencies.java
+++ b/src/main/java/org/springmill/control/coordination/JobDependencies.java
@@ -193,6 +193,11 @@
         return submission.dependencies().stream().filter(id -> dependency(id) == null).toList();
     }
 
+    /** The final state of a job could not be read now; others come first. */
+    void postponeMissing(String id) {
+        moved.postpone(id);
+    }
+
     /** The job whose final state is to be read next, for a record in memory; null if none is. */
     String firstMissing() {
         return moved.firstMissing();
--- a/src/main/java/org/springmill/control/coordination/JobDirectory.java
+++ b/src/main/java/org/springmill/control/coordination/JobDirectory.java
@@ -175,16 +175,18 @@
             return;
         }
         lookingUp = true;
-        endedJobs.find(id, this::dependencyLookedUp);
+        endedJobs.find(id, lookup -> dependencyLookedUp(id, lookup));
     }
 
-    private void dependencyLookedUp(Lookup lookup) {
+    private void dependencyLookedUp(String id, Lookup lookup) {
         if (lookup.outcome() == Outcome.FOUND) {
             lookingUp = false;
             dependencies.learnMoved(lookup.job()).forEach(listener);
             lookUpDependencies();
         } else {
-            // Its record may just not have been read yet; the feed brings it then.
+            // Its record may just not have been read yet; the feed brings it then. Others must not
+            // wait for one that is never found.
+            dependencies.postponeMissing(id);
             loop.after(
                     retryLookupSeconds,
                     () -> {
--- a/src/main/java/org/springmill/control/coordination/MovedDependencies.java
+++ b/src/main/java/org/springmill/control/coordination/MovedDependencies.java
@@ -46,6 +46,13 @@
         found.put(job.id(), job);
     }
 
+    /** The state could not be read now: others are read before it is tried again. */
+    void postpone(String id) {
+        if (missing.remove(id)) {
+            missing.add(id);
+        }
+    }
+
     /** The job has a record in memory, or no record in memory names it any more. */
     void release(String id) {
         missing.remove(id);
--- /dev/null
+++ b/src/test/java/org/springmill/control/coordination/MovedDependenciesTest.java
@@ -0,0 +1,38 @@
+package org.springmill.control.coordination;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertNull;
+
+import org.junit.jupiter.api.Test;
+import org.springmill.control.storage.EndedJob;
+import org.springmill.protocol.UserMessages.Phase;
+
+class MovedDependenciesTest {
+    private static final String FIRST = "run-000001";
+    private static final String SECOND = "run-000002";
+
+    private final MovedDependencies moved = new MovedDependencies(id -> null);
+
+    /** One that is never found, such as a record that cannot be read, kept all others waiting. */
+    @Test
+    void aDependencyThatIsNotFoundLetsTheOthersBeReadFirst() {
+        moved.require(FIRST);
+        moved.require(SECOND);
+        assertEquals(FIRST, moved.firstMissing());
+        moved.postpone(FIRST);
+        assertEquals(SECOND, moved.firstMissing());
+        moved.learn(new EndedJob(SECOND, Phase.DONE, 1, false, 0, 1));
+        assertEquals(FIRST, moved.firstMissing());
+    }
+
+    /** Released while it was being looked up, it must not come back. */
+    @Test
+    void whatIsNoLongerNeededIsNotPostponed() {
+        moved.require(FIRST);
+        moved.release(FIRST);
+        moved.postpone(FIRST);
+        assertNull(moved.firstMissing());
+        assertFalse(moved.anyMissing());
+    }
+}
