Simulated users leave a controller that stays unhealthy, however long

Cause: the simulated balancer added up the failed probes of all controllers to find out whether any other was healthy.

Change: a user moves while any controller is healthy, as the protocol has it.

--- a/src/test/java/org/springmill/sim/SimUsers.java
+++ b/src/test/java/org/springmill/sim/SimUsers.java
@@ -134,10 +134,11 @@
     }
 
     private boolean hasHealthyEnoughController() {
-        int sum = 0;
-        for (int failed : failedProbes) {
-            sum += failed;
+        for (int i = 0; i < SimSettings.CONTROLLERS; i++) {
+            if (!isReset(i)) {
+                return true;
+            }
         }
-        return sum < FAILED_PROBES_UNTIL_RESET * SimSettings.CONTROLLERS;
+        return false;
     }
 }
