--- a/src/main/java/org/springmill/cli/RunCommand.java
+++ b/src/main/java/org/springmill/cli/RunCommand.java
@@ -57,7 +57,8 @@
                         transport.loop(),
                         transport.client(),
                         link,
-                        new SplittableRandom(seed(settings)));
+                        new SplittableRandom(seed(settings)),
+                        Runtime.getRuntime().maxMemory());
         transport.loop().after(0, controller::start);
         transport.serve(settings.listen(), controller);
     }
--- /dev/null
+++ b/src/main/java/org/springmill/control/admission/MemoryBound.java
@@ -0,0 +1,54 @@
+package org.springmill.control.admission;
+
+import java.util.EnumMap;
+import java.util.Map;
+import org.springmill.protocol.Priority;
+import org.springmill.protocol.Submission;
+
+/**
+ * Bounds the memory of live jobs by a share of the heap. Lower priorities are refused earlier, so
+ * that they never take the room of higher ones; a team above its guarantee is refused once it alone
+ * holds half of what its priority may.
+ */
+final class MemoryBound {
+    /** Of the heap, what the records and states of jobs may need. The rest is the fleet's. */
+    static final double HEAP_SHARE = 0.5;
+
+    /** Of the bound, what all jobs together may need before one of a priority is refused. */
+    private static final Map<Priority, Double> SHARE_BY_PRIORITY =
+            new EnumMap<>(
+                    Map.of(
+                            Priority.LOW, 0.7,
+                            Priority.NORMAL, 0.8,
+                            Priority.HIGH, 0.9,
+                            Priority.PRODUCTION, 0.95));
+
+    /** Of what its priority may need, the most that one team may. */
+    private static final double TEAM_SHARE = 0.5;
+
+    private final long bytes;
+
+    /**
+     * @param heapBytes the largest heap that this process may have
+     */
+    MemoryBound(double heapBytes) {
+        bytes = (long) (heapBytes * HEAP_SHARE);
+    }
+
+    long bytes() {
+        return bytes;
+    }
+
+    /**
+     * How many bytes have to come free before a job can be accepted; 0 if it can be at once.
+     *
+     * @param endedBytes memory of the records of ended jobs
+     */
+    double excess(LiveWork live, long endedBytes, Submission job, boolean guaranteed) {
+        long need = LiveWork.bytesOf(job);
+        double share = guaranteed ? 1 : SHARE_BY_PRIORITY.get(job.priority());
+        double ofAll = live.bytes() + endedBytes + need - bytes * share;
+        double ofTeam = live.bytes(job.team()) + need - bytes * share * TEAM_SHARE;
+        return Math.max(0, guaranteed ? ofAll : Math.max(ofAll, ofTeam));
+    }
+}
--- /dev/null
+++ b/src/main/java/org/springmill/control/admission/QueueWaits.java
@@ -0,0 +1,133 @@
+package org.springmill.control.admission;
+
+import java.util.ArrayDeque;
+import java.util.ArrayList;
+import java.util.Comparator;
+import java.util.Deque;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import org.springmill.protocol.PeerMessages.Congested;
+import org.springmill.protocol.PeerMessages.CongestedQueue;
+import org.springmill.protocol.Priority;
+
+/**
+ * At the leader: estimates how long a job that is submitted now would wait for its first start,
+ * from the tasks ahead of it and the starts of the last minutes. A job waits behind its own team's
+ * work and behind all teams' work, each of its priority or above.
+ *
+ * <p>A queue is judged only once work has waited in it for a whole window: before that, and after a
+ * change of leader, nothing is known of how fast it drains.
+ */
+public final class QueueWaits {
+    /** The window in which starts are counted, as a ratio to the longest wait. */
+    static final double WINDOW_SHARE = 0.25;
+
+    /** Counts are kept by slices of the window. */
+    private static final int SLICES = 12;
+
+    private final double maxWaitSeconds;
+    private final double windowSeconds;
+    private final Map<Queue, Starts> starts = new HashMap<>();
+    private final Map<Queue, Integer> waiting = new HashMap<>();
+    private final Map<Queue, Double> waitingSince = new HashMap<>();
+
+    /** Work of one team, or of all, of one priority or above. */
+    private record Queue(String team, Priority priority) {}
+
+    /** Starts in slices of the window; the oldest leave it one by one. */
+    private final class Starts {
+        private final Deque<Slice> slices = new ArrayDeque<>();
+        private int sum;
+
+        void add(int count, double now) {
+            double sliceSeconds = windowSeconds / SLICES;
+            if (slices.isEmpty() || slices.peekLast().from + sliceSeconds <= now) {
+                slices.add(new Slice(now));
+            }
+            slices.peekLast().count += count;
+            sum += count;
+        }
+
+        int inWindow(double now) {
+            while (!slices.isEmpty() && slices.peek().from <= now - windowSeconds) {
+                sum -= slices.poll().count;
+            }
+            return sum;
+        }
+    }
+
+    private static final class Slice {
+        private final double from;
+        private int count;
+
+        Slice(double from) {
+            this.from = from;
+        }
+    }
+
+    /**
+     * @param maxWaitSeconds the longest wait that operators want anyone to be accepted into
+     */
+    public QueueWaits(double maxWaitSeconds) {
+        this.maxWaitSeconds = maxWaitSeconds;
+        windowSeconds = maxWaitSeconds * WINDOW_SHARE;
+    }
+
+    /** Notes that tasks of a team were placed. */
+    public void started(String team, Priority priority, int tasks, double now) {
+        for (Queue queue : queuesOf(team, priority)) {
+            starts.computeIfAbsent(queue, q -> new Starts()).add(tasks, now);
+        }
+    }
+
+    /** Begins a new count of what waits. */
+    public void beginCount() {
+        waiting.clear();
+    }
+
+    /** Counts tasks of one job that wait for their start. */
+    public void waits(String team, Priority priority, int tasks) {
+        for (Queue queue : queuesOf(team, priority)) {
+            waiting.merge(queue, tasks, Integer::sum);
+        }
+    }
+
+    /** Ends the count: the queues that wait too long, the worst first. */
+    public List<CongestedQueue> endCount(double now) {
+        waitingSince.keySet().retainAll(waiting.keySet());
+        starts.values().removeIf(counted -> counted.inWindow(now) == 0);
+        List<CongestedQueue> congested = new ArrayList<>();
+        for (Map.Entry<Queue, Integer> entry : waiting.entrySet()) {
+            Queue queue = entry.getKey();
+            double since = waitingSince.computeIfAbsent(queue, q -> now);
+            double excess = expectedSeconds(queue, entry.getValue(), now) - maxWaitSeconds;
+            if (now - since >= windowSeconds && excess > 0) {
+                congested.add(new CongestedQueue(queue.team(), queue.priority(), excess));
+            }
+        }
+        congested.sort(Comparator.comparingDouble(CongestedQueue::excessSeconds).reversed());
+        return congested.subList(0, Math.min(Congested.MOST, congested.size()));
+    }
+
+    private double expectedSeconds(Queue queue, int tasks, double now) {
+        Starts counted = starts.get(queue);
+        // No start at all in the window is counted as one: it may have been about to happen.
+        double startsInWindow = Math.max(1, counted == null ? 0 : counted.inWindow(now));
+        return tasks / startsInWindow * windowSeconds;
+    }
+
+    /** The queues that work of a team and priority is ahead in. */
+    private static Set<Queue> queuesOf(String team, Priority priority) {
+        Set<Queue> queues = new HashSet<>();
+        for (Priority behind : Priority.values()) {
+            if (!behind.above(priority)) {
+                queues.add(new Queue(team, behind));
+                queues.add(new Queue(CongestedQueue.ALL_TEAMS, behind));
+            }
+        }
+        return queues;
+    }
+}
--- a/src/main/java/org/springmill/control/coordination/Controller.java
+++ b/src/main/java/org/springmill/control/coordination/Controller.java
@@ -1,10 +1,16 @@
 package org.springmill.control.coordination;
 
+import java.util.Locale;
 import java.util.Optional;
 import java.util.SplittableRandom;
 import java.util.function.ToDoubleFunction;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
+import org.springmill.control.admission.AdmissionControl;
+import org.springmill.control.admission.AdmissionReason;
+import org.springmill.control.admission.Congestion;
+import org.springmill.control.admission.LiveWork;
+import org.springmill.control.admission.StateShares;
 import org.springmill.control.history.HistoryMembers;
 import org.springmill.control.storage.JobRecord;
 import org.springmill.control.storage.StateStore;
@@ -31,6 +37,12 @@
     private static final String METRICS_PATH = "/metrics";
     private static final int METRICS_RETRY_AFTER_SECONDS = 1;
 
+    /** What the leader said of congestion counts for so many of its intervals. */
+    private static final double CONGESTION_VALID_INTERVALS = 3;
+
+    /** Of the time in which a user can still be answered, what a submission may expect to wait. */
+    private static final double EXPECTED_WAIT_SHARE = 0.8;
+
     private final HttpClient http;
     private final Loop loop;
     private final Settings settings;
@@ -46,6 +58,10 @@
     private final Metrics metrics;
     private final RemoteProgress remoteProgress;
     private final UnservedWorkers unservedWorkers;
+    private final StateShares shares;
+    private final LiveWork live;
+    private final Congestion congestion;
+    private final AdmissionControl admission;
 
     /** Empty unless the operators have switched the bounded history on. */
     private final Optional<HistoryMembers> historyMembers;
@@ -53,9 +69,18 @@
     /** Null while this controller does not lead. */
     private Leader leader;
 
-    /** Puts a controller together; nothing is sent before {@link #start}. */
+    /**
+     * Puts a controller together; nothing is sent before {@link #start}.
+     *
+     * @param heapBytes the largest heap that this process was started with
+     */
     public Controller(
-            Settings settings, Loop loop, HttpClient http, PeerLink link, SplittableRandom random) {
+            Settings settings,
+            Loop loop,
+            HttpClient http,
+            PeerLink link,
+            SplittableRandom random,
+            double heapBytes) {
         this.settings = settings;
         this.loop = loop;
         this.http = http;
@@ -67,7 +92,9 @@
         store = new StateStore(http, loop, settings, timing.stateTimeoutS());
         directory = new JobDirectory(store, loop, timing, random.nextInt());
         catalog = new MachineTypeCatalog(http, loop, settings);
-        peers = new Peers(link, loop, settings, timing, directory, this::status);
+        shares = stateShares();
+        store.keepTo(shares);
+        peers = new Peers(link, loop, settings, timing, directory, shares, this::status);
         cancellationFreshness = new CancellationFreshness(directory, peers, loop, timing);
         String incarnation = Long.toHexString(random.nextLong());
         leadership =
@@ -75,17 +102,10 @@
                         store, loop, settings, timing, peers, incarnation, new TermListener());
         leaseKeepalive =
                 new LeaseKeepalive(store, peers, leadership, cancellationFreshness, loop, timing);
-        userApi =
-                new UserApi(
-                        directory,
-                        store,
-                        catalog,
-                        loop,
-                        timing,
-                        this::progressOf,
-                        peers::tell,
-                        metrics,
-                        settings.operator().pendingSubmissions());
+        live = new LiveWork(loop.now());
+        congestion = new Congestion(timing.reportS() * CONGESTION_VALID_INTERVALS);
+        admission = admission(random, heapBytes);
+        userApi = userApi();
 
         historyMembers =
                 settings.operator().historyRetentionS().isPresent()
@@ -93,12 +113,61 @@
                         : Optional.empty();
 
         directory.onChange(this::jobChanged);
+        directory.onForget(id -> live.ended(id, loop.now()));
         peers.onProgress(remoteProgress::receive);
+        peers.onCongested(congested -> congestion.told(congested.queues(), loop.now()));
         peers.onSilentRefusal(leadership::leaderRefuses);
         store.onCommit(metrics::commitAnswered);
         addGauges();
     }
 
+    private StateShares stateShares() {
+        double leaderShare = settings.operator().leaderShare();
+        return new StateShares(
+                loop,
+                this::validTerm,
+                leaderShare,
+                settings.controllers(),
+                timing.renewS(),
+                Timing.DRIFT,
+                settings.state().writesPerS());
+    }
+
+    /** The term that this controller leads, sure of its lease; 0 if there is none. */
+    private long validTerm() {
+        return leadership != null && leadership.mayPlace() ? leadership.term() : 0;
+    }
+
+    private AdmissionControl admission(SplittableRandom random, double heapBytes) {
+        double answerWithin = JobAnswers.ANSWER_WITHIN_S - timing.stateTimeoutS();
+        return new AdmissionControl(
+                loop,
+                settings,
+                live,
+                congestion,
+                random,
+                () -> Math.max(0, directory.all().size() - live.jobs()),
+                settings.limits().heapBytes(heapBytes),
+                answerWithin * EXPECTED_WAIT_SHARE);
+    }
+
+    private UserApi userApi() {
+        JobAnswers answers = new JobAnswers(this::progressOf);
+        SubmissionHandler submissions =
+                new SubmissionHandler(
+                        directory,
+                        store,
+                        catalog,
+                        loop,
+                        timing,
+                        answers,
+                        metrics,
+                        admission,
+                        live,
+                        settings.operator().pendingSubmissions());
+        return new UserApi(directory, store, loop, timing, answers, peers::tell, submissions);
+    }
+
     private HistoryMembers historyMembers() {
         return new HistoryMembers(
                 store,
@@ -118,6 +187,15 @@
                 cancellationFreshness,
                 CancellationFreshness::age);
         metrics.gauge("jobs", directory, d -> d.all().size());
+        metrics.gauge("live_jobs", live, LiveWork::jobs);
+        metrics.gauge("job_memory_bytes", admission, AdmissionControl::usedBytes);
+        metrics.gauge("job_memory_bound_bytes", admission, AdmissionControl::boundBytes);
+        metrics.gauge("congested_queues", congestion, c -> c.queues(loop.now()));
+        metrics.gauge("state_service_share", shares, StateShares::current);
+        for (AdmissionReason reason : AdmissionReason.values()) {
+            String name = "submissions_refused_" + reason.name().toLowerCase(Locale.ROOT);
+            metrics.counter(name, admission, a -> a.refused(reason));
+        }
         metrics.gauge("cancellations", directory, JobDirectory::cancellationCount);
         metrics.gauge("moved_jobs_in_memory", directory, JobDirectory::movedInMemory);
         addLeaderGauge("job_records_to_move", Leader::recordsToMove);
@@ -233,7 +311,8 @@
                 0,
                 leadership.knownTerm(),
                 News.NONE,
-                historyMembers.isPresent());
+                historyMembers.isPresent(),
+                0);
     }
 
     private void handleReport(Call call) {
@@ -281,6 +360,11 @@
     }
 
     private void jobChanged(JobRecord job) {
+        if (job.active()) {
+            live.add(job.submission());
+        } else {
+            live.ended(job.id(), loop.now());
+        }
         if (leader != null) {
             leader.jobChanged(job);
         }
@@ -306,6 +390,7 @@
                             peers,
                             catalog,
                             metrics,
+                            congestion,
                             historyMembers);
             leader.start();
         }
--- a/src/main/java/org/springmill/control/coordination/Job.java
+++ b/src/main/java/org/springmill/control/coordination/Job.java
@@ -9,6 +9,7 @@
 import org.agrona.collections.Int2ObjectHashMap;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
+import org.springmill.protocol.PeerMessages.JobProgress;
 import org.springmill.protocol.Priority;
 import org.springmill.protocol.Submission;
 import org.springmill.protocol.UserMessages.Phase;
@@ -163,6 +164,17 @@
         return done.cardinality();
     }
 
+    /** How many tasks are done and how many run, for display. */
+    JobProgress progress() {
+        int running = 0;
+        for (Attempt attempt : attempts()) {
+            if (attempt.state() == Attempt.State.RUNNING) {
+                running++;
+            }
+        }
+        return new JobProgress(id(), doneCount(), running);
+    }
+
     boolean complete() {
         return !spec.service() && done.cardinality() == spec.tasks();
     }
--- a/src/main/java/org/springmill/control/coordination/JobAnswers.java
+++ b/src/main/java/org/springmill/control/coordination/JobAnswers.java
@@ -2,6 +2,7 @@
 
 import java.util.function.Consumer;
 import java.util.function.Function;
+import org.springmill.control.admission.AdmissionRefusal;
 import org.springmill.control.history.EndedJobs.Lookup;
 import org.springmill.control.storage.EndedJob;
 import org.springmill.control.storage.JobRecord;
@@ -92,8 +93,9 @@
         call.reply(422, UserMessages.error(reason), 0);
     }
 
-    /** Answers 429: too many submissions are under way. */
-    static void overloaded(Call call) {
-        call.reply(429, UserMessages.error("too many submissions"), RETRY_AFTER_S);
+    /** Answers 503 with when to come back: the job cannot be taken now. */
+    static void refused(Call call, AdmissionRefusal refusal) {
+        byte[] answer = UserMessages.error(refusal.reason().text());
+        call.reply(503, answer, refusal.retryAfterSeconds());
     }
 }
--- a/src/main/java/org/springmill/control/coordination/JobDirectory.java
+++ b/src/main/java/org/springmill/control/coordination/JobDirectory.java
@@ -47,6 +47,7 @@
     private final Loop loop;
     private final double retryLookupSeconds;
     private Consumer<JobRecord> listener = job -> {};
+    private Consumer<String> forgetListener = id -> {};
     private boolean lookingUp;
 
     /**
@@ -104,6 +105,11 @@
         listener = changeListener;
     }
 
+    /** Has a listener told of every job whose record leaves memory. */
+    void onForget(Consumer<String> newListener) {
+        forgetListener = newListener;
+    }
+
     /** Which job needs which, and what follows from it. */
     JobDependencies dependencies() {
         return dependencies;
@@ -165,6 +171,7 @@
         }
         cancellations.drop(id);
         dependencies.forget(id);
+        forgetListener.accept(id);
         lookUpDependencies();
     }
 
--- a/src/main/java/org/springmill/control/coordination/JobRecordFeed.java
+++ b/src/main/java/org/springmill/control/coordination/JobRecordFeed.java
@@ -22,9 +22,6 @@
  * serves all barriers that wait.
  */
 final class JobRecordFeed {
-    /** Barrier reads take at most this share of the requests that the state service takes. */
-    private static final double BARRIER_SHARE = 0.25;
-
     private final StateStore store;
     private final Loop loop;
     private final Timing timing;
@@ -62,7 +59,7 @@
         this.loop = loop;
         this.timing = timing;
         this.listener = listener;
-        barrierIntervalS = 1 / (BARRIER_SHARE * store.limits().requestsPerS());
+        barrierIntervalS = 1 / store.barriersPerS();
     }
 
     /** Reads all records, and follows their changes from there. */
--- a/src/main/java/org/springmill/control/coordination/Leader.java
+++ b/src/main/java/org/springmill/control/coordination/Leader.java
@@ -5,8 +5,11 @@
 import java.util.BitSet;
 import java.util.List;
 import java.util.Optional;
+import java.util.OptionalDouble;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
+import org.springmill.control.admission.Congestion;
+import org.springmill.control.admission.QueueWaits;
 import org.springmill.control.history.HistoryMembers;
 import org.springmill.control.history.HistoryMover;
 import org.springmill.control.storage.Claim;
@@ -16,7 +19,6 @@
 import org.springmill.control.storage.StateStore;
 import org.springmill.control.storage.StateStore.Outcome;
 import org.springmill.protocol.PeerMessages.JobProgress;
-import org.springmill.protocol.PeerMessages.Progress;
 import org.springmill.protocol.Settings;
 import org.springmill.protocol.StateMessages.Condition;
 import org.springmill.protocol.StateMessages.Write;
@@ -53,6 +55,7 @@
     private final Demand demand;
     private final CancellationPersister cancellations;
     private final DependencyPriority order;
+    private final WorkloadBroadcast broadcast;
 
     /** Empty unless the operators have switched the bounded history on. */
     private final Optional<HistoryMover> history;
@@ -73,6 +76,7 @@
             Peers peers,
             MachineTypeCatalog catalog,
             Metrics metrics,
+            Congestion congestion,
             Optional<HistoryMembers> historyMembers) {
         this.store = store;
         this.loop = loop;
@@ -116,6 +120,16 @@
                                 leadership.deposed("a round was refused");
                             }
                         });
+        broadcast =
+                new WorkloadBroadcast(
+                        clusterState,
+                        peers,
+                        congestion,
+                        queueWaits(settings),
+                        loop,
+                        settings.node(),
+                        fleet.term(),
+                        timing.reportS());
         demand = new Demand(settings, loop.now());
         order = new DependencyPriority(directory, clusterState);
         cancellations = new CancellationPersister(store, directory, leadership, loop);
@@ -125,6 +139,13 @@
                         fleet, placement, demand, peers, http, loop, settings, timing, this::wake);
     }
 
+    private static Optional<QueueWaits> queueWaits(Settings settings) {
+        OptionalDouble maxWait = settings.operator().maxWaitS();
+        return maxWait.isPresent()
+                ? Optional.of(new QueueWaits(maxWait.getAsDouble()))
+                : Optional.empty();
+    }
+
     private HistoryMover historyMover(HistoryMembers members, Metrics metrics) {
         return new HistoryMover(
                 store,
@@ -141,6 +162,7 @@
         log.close();
         dispatcher.close();
         rounds.close();
+        broadcast.close();
         rentals.close();
         cancellations.close();
     }
@@ -227,7 +249,7 @@
         rounds.request();
         tickedAt = loop.now();
         tick();
-        broadcast();
+        broadcast.start();
         cancellations.run();
         history.ifPresent(HistoryMover::start);
         store.get(
@@ -446,6 +468,7 @@
     }
 
     private void roundCommitted(List<Attempt> claimed, List<Attempt> ended) {
+        broadcast.placed(claimed);
         for (Attempt attempt : claimed) {
             dispatcher.poke(attempt.machine());
         }
@@ -537,17 +560,7 @@
     /** Phase and counts of an active job, as its leader knows them; null if it is not known. */
     JobProgress progress(String id) {
         Job job = rebuilt ? clusterState.job(id) : null;
-        return job == null ? null : progress(job);
-    }
-
-    private static JobProgress progress(Job job) {
-        int running = 0;
-        for (Attempt attempt : job.attempts()) {
-            if (attempt.state() == Attempt.State.RUNNING) {
-                running++;
-            }
-        }
-        return new JobProgress(job.id(), job.doneCount(), running);
+        return job == null ? null : job.progress();
     }
 
     int waitingTasks() {
@@ -555,7 +568,9 @@
     }
 
     int runningTasks() {
-        return clusterState.jobs().values().stream().mapToInt(job -> progress(job).running()).sum();
+        return clusterState.jobs().values().stream()
+                .mapToInt(job -> job.progress().running())
+                .sum();
     }
 
     long machinesUp() {
@@ -569,24 +584,4 @@
     int roundsKept() {
         return log.kept();
     }
-
-    private void broadcast() {
-        if (closed) {
-            return;
-        }
-        List<JobProgress> jobs = new ArrayList<>();
-        for (Job job : clusterState.jobs().values()) {
-            if (job.active() && job.liveCount() + job.doneCount() > 0) {
-                jobs.add(progress(job));
-            }
-        }
-        for (int from = 0; from < jobs.size(); from += Progress.MOST) {
-            peers.broadcast(
-                    new Progress(
-                            settings.node(),
-                            fleet.term(),
-                            jobs.subList(from, Math.min(jobs.size(), from + Progress.MOST))));
-        }
-        loop.after(timing.reportS(), this::broadcast);
-    }
 }
--- a/src/main/java/org/springmill/control/coordination/Leadership.java
+++ b/src/main/java/org/springmill/control/coordination/Leadership.java
@@ -235,11 +235,9 @@
         boolean held = holdsTerm();
         state = next;
         if (!held && holdsTerm()) {
-            store.setLeading(true);
             listener.gained(term);
         } else if (held && !holdsTerm()) {
             lease = 0;
-            store.setLeading(false);
             listener.lost();
         }
     }
--- a/src/main/java/org/springmill/control/coordination/Metrics.java
+++ b/src/main/java/org/springmill/control/coordination/Metrics.java
@@ -2,6 +2,7 @@
 
 import io.micrometer.core.instrument.Clock;
 import io.micrometer.core.instrument.Counter;
+import io.micrometer.core.instrument.FunctionCounter;
 import io.micrometer.core.instrument.Gauge;
 import io.micrometer.core.instrument.Meter;
 import io.micrometer.core.instrument.Timer;
@@ -70,6 +71,11 @@
         Gauge.builder(PREFIX + name, source, value).strongReference(true).register(registry);
     }
 
+    /** Adds a counter that reads its value from an object whenever the metrics are read. */
+    <T> void counter(String name, T source, ToDoubleFunction<T> value) {
+        FunctionCounter.builder(PREFIX + name + COUNTER_SUFFIX, source, value).register(registry);
+    }
+
     /** Records that a submission, which arrived at the given time, was accepted now. */
     void accepted(double arrivedAt) {
         recordSince(acceptance, arrivedAt);
@@ -145,6 +151,8 @@
             appendTimer(text, name, timer);
         } else if (meter instanceof Counter counter) {
             appendLine(text, name, counter.count());
+        } else if (meter instanceof FunctionCounter counter) {
+            appendLine(text, name, counter.count());
         } else if (meter instanceof Gauge gauge) {
             appendLine(text, name, gauge.value());
         }
--- a/src/main/java/org/springmill/control/coordination/Peers.java
+++ b/src/main/java/org/springmill/control/coordination/Peers.java
@@ -8,11 +8,13 @@
 import java.util.function.Supplier;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
+import org.springmill.control.admission.StateShares;
 import org.springmill.control.coordination.PeerConfirmations.Answer;
 import org.springmill.protocol.BadMessageException;
 import org.springmill.protocol.PeerMessages;
 import org.springmill.protocol.PeerMessages.Cancellation;
 import org.springmill.protocol.PeerMessages.Cancelled;
+import org.springmill.protocol.PeerMessages.Congested;
 import org.springmill.protocol.PeerMessages.News;
 import org.springmill.protocol.PeerMessages.PeerRecord;
 import org.springmill.protocol.PeerMessages.Progress;
@@ -47,11 +49,13 @@
     private final Set<String> nodes;
     private final PeerConfirmations confirmations;
     private final PeerCancellations cancellations;
+    private final StateShares shares;
 
     /** When each recent question was asked. */
     private final Map<Long, Double> askedAtByQuestion = new HashMap<>();
 
     private Consumer<Progress> onProgress = progress -> {};
+    private Consumer<Congested> onCongested = congested -> {};
     private Consumer<Status> onSilentRefusal = status -> {};
 
     /** When this controller last confirmed an outage, or kept a worker's lease as a follower. */
@@ -73,12 +77,14 @@
             Settings settings,
             Timing timing,
             JobDirectory directory,
+            StateShares shares,
             Supplier<Status> ownStatus) {
         this.link = link;
         this.loop = loop;
         this.settings = settings;
         this.timing = timing;
         this.directory = directory;
+        this.shares = shares;
         this.ownStatus = ownStatus;
         nodes = settings.peers().keySet();
         confirmations = new PeerConfirmations(loop, timing, nodes);
@@ -105,6 +111,11 @@
         onProgress = taker;
     }
 
+    /** Takes the queues that wait too long as the leader tells them. */
+    void onCongested(Consumer<Congested> taker) {
+        onCongested = taker;
+    }
+
     /**
      * Told of a node that refuses connections and has not answered for some time, with its last
      * status, if that was that it leads. One that never said so in its present term may merely be
@@ -124,9 +135,9 @@
         nodes.forEach(node -> send(node, message));
     }
 
-    /** Tells all peers how far running jobs are. */
-    void broadcast(Progress progress) {
-        nodes.forEach(node -> send(node, progress));
+    /** Tells all peers something that needs no answer. */
+    void broadcast(PeerRecord message) {
+        nodes.forEach(node -> send(node, message));
     }
 
     private void send(String node, PeerRecord message) {
@@ -140,7 +151,7 @@
         Status status = ownStatus.get();
         for (String node : nodes) {
             News known = directory.known(cancellations.bookmark(node));
-            send(node, message(status, lastQuestion, NO_QUESTION, known));
+            send(node, message(status, lastQuestion, NO_QUESTION, known, shares.wanted()));
         }
         loop.after(timing.pingS(), this::ask);
     }
@@ -153,14 +164,16 @@
             lastConfirmationAt = loop.now();
         }
         News lacking = directory.lackedBy(question.news());
-        send(question.from(), message(status, NO_QUESTION, question.question(), lacking));
+        double lent = shares.lend(question.from(), question.stateShare());
+        send(question.from(), message(status, NO_QUESTION, question.question(), lacking, lent));
     }
 
     /**
      * The term told never falls behind one that was heard: an answer that names a term is a promise
      * to know it from then on.
      */
-    private Status message(Status status, long question, long answeredQuestion, News news) {
+    private Status message(
+            Status status, long question, long answeredQuestion, News news, double stateShare) {
         return new Status(
                 settings.node(),
                 question,
@@ -173,7 +186,8 @@
                 millisecondsSinceConfirmation(),
                 Math.max(highestTerm, status.term()),
                 news,
-                status.keepsHistory());
+                status.keepsHistory(),
+                stateShare);
     }
 
     /** Negative while this controller may go on keeping leases for so long. */
@@ -194,12 +208,21 @@
                 cancelled.cancellations().forEach(directory::learn);
             } else if (message instanceof Progress progress) {
                 onProgress.accept(progress);
+            } else if (message instanceof Congested congested && fromPeer) {
+                congestedReceived(congested);
             }
         } catch (BadMessageException e) {
             LOG.warn("{}", e.getMessage());
         }
     }
 
+    /** What a leader of an earlier term says is out of date. */
+    private void congestedReceived(Congested congested) {
+        if (congested.term() >= highestTerm) {
+            onCongested.accept(congested);
+        }
+    }
+
     private void statusReceived(Status status) {
         if (status.term() > highestTerm) {
             highestTerm = status.term();
@@ -223,6 +246,9 @@
         if (askedAt != null) {
             confirmations.answered(askedAt, answer);
             cancellations.answered(askedAt, answer);
+            if (answer.stateShare() > 0) {
+                shares.borrow(answer.echo(), askedAt, answer.stateShare());
+            }
         }
     }
 
--- a/src/main/java/org/springmill/control/coordination/SubmissionHandler.java
+++ b/src/main/java/org/springmill/control/coordination/SubmissionHandler.java
@@ -1,8 +1,14 @@
 package org.springmill.control.coordination;
 
+import java.util.LinkedHashSet;
 import java.util.List;
+import java.util.Optional;
+import java.util.Set;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
+import org.springmill.control.admission.AdmissionControl;
+import org.springmill.control.admission.AdmissionRefusal;
+import org.springmill.control.admission.LiveWork;
 import org.springmill.control.history.EndedJobs.Lookup;
 import org.springmill.control.storage.EndedJob;
 import org.springmill.control.storage.JobRecord;
@@ -32,8 +38,12 @@
     private final Timing timing;
     private final JobAnswers answers;
     private final Metrics metrics;
+    private final AdmissionControl admission;
+    private final LiveWork live;
     private final int maxPending;
-    private int pending;
+
+    /** Submissions whose records are on their way to the state service, the oldest first. */
+    private final Set<Pending> pending = new LinkedHashSet<>();
 
     /**
      * A submission on its way.
@@ -44,6 +54,7 @@
     private record Pending(Call call, JobRecord job, double since) {}
 
     /**
+     * @param live the account of jobs that are accepted and not over
      * @param maxPending submissions whose records may be on their way to the state service at a
      *     time
      */
@@ -55,6 +66,8 @@
             Timing timing,
             JobAnswers answers,
             Metrics metrics,
+            AdmissionControl admission,
+            LiveWork live,
             int maxPending) {
         this.directory = directory;
         this.store = store;
@@ -63,6 +76,8 @@
         this.timing = timing;
         this.answers = answers;
         this.metrics = metrics;
+        this.admission = admission;
+        this.live = live;
         this.maxPending = maxPending;
     }
 
@@ -89,7 +104,7 @@
         String impossible = catalog.impossible(submission);
         if (impossible != null) {
             // It may have been accepted long ago, under other limits or machine types.
-            refuseAfterBarrier(submitted, impossible);
+            refuseAfterBarrier(submitted, impossible(impossible));
         } else if (refusal(job) == null) {
             accept(submitted);
         } else {
@@ -135,33 +150,40 @@
         if (refusal == null && current && unknown(submitted)) {
             accept(submitted);
         } else {
-            refuse(submitted, current, refusal);
+            refuse(submitted, current, impossible(refusal));
         }
     }
 
-    /** Refuses a job for a given reason, unless it turns out to have been accepted before. */
-    private void refuseAfterBarrier(Pending submitted, String reason) {
-        directory.barrier(current -> refuse(submitted, current, reason));
+    /** How the users of jobs that can never run, or not be taken now, are told so. */
+    @FunctionalInterface
+    private interface RefusalAnswer {
+        void reply(Call call);
+    }
+
+    private static RefusalAnswer impossible(String reason) {
+        return call -> JobAnswers.impossible(call, reason);
+    }
+
+    /** Refuses a job, unless it turns out to have been accepted before. */
+    private void refuseAfterBarrier(Pending submitted, RefusalAnswer answer) {
+        directory.barrier(current -> refuse(submitted, current, answer));
     }
 
-    private void refuse(Pending submitted, boolean current, String reason) {
+    private void refuse(Pending submitted, boolean current, RefusalAnswer answer) {
         if (!unknown(submitted)) {
             answerKnown(submitted.call(), submitted.job().id());
         } else if (!current) {
             JobAnswers.unavailable(submitted.call(), JobAnswers.STATE_SERVICE_SILENT);
         } else {
             String id = submitted.job().id();
-            directory.findMoved(id, lookup -> refuse(submitted.call(), lookup, reason));
+            directory.findMoved(id, lookup -> refuse(submitted.call(), lookup, answer));
         }
     }
 
     /** A repeated submission of an accepted job is never refused, however long ago it ended. */
-    private static void refuse(Call call, Lookup lookup, String reason) {
+    private static void refuse(Call call, Lookup lookup, RefusalAnswer answer) {
         JobAnswers.lookedUp(
-                call,
-                lookup,
-                job -> JobAnswers.phase(call, job),
-                () -> JobAnswers.impossible(call, reason));
+                call, lookup, job -> JobAnswers.phase(call, job), () -> answer.reply(call));
     }
 
     private boolean unknown(Pending submitted) {
@@ -173,20 +195,42 @@
     }
 
     private void accept(Pending submitted) {
-        if (pending >= maxPending || store.full()) {
-            JobAnswers.overloaded(submitted.call());
+        Submission submission = submitted.job().submission();
+        Optional<AdmissionRefusal> refusal = admission.refusal(submission, expectedWaitSeconds());
+        if (refusal.isPresent()) {
+            // A repeated submission is no new work, and its user may be the one whose first answer
+            // was lost.
+            refuseAfterBarrier(submitted, call -> JobAnswers.refused(call, refusal.get()));
             return;
         }
-        pending++;
+        pending.add(submitted);
+        live.add(submission);
         create(submitted);
     }
 
+    /**
+     * How long one more record would wait for the state service: by this controller's share of its
+     * limits, and at least as long as the oldest that is on its way has waited.
+     */
+    private double expectedWaitSeconds() {
+        if (pending.size() >= maxPending) {
+            return Double.POSITIVE_INFINITY;
+        }
+        double byShare = store.expectedWaitSeconds(1);
+        return pending.isEmpty() ? byShare : Math.max(byShare, secondsSinceOldest());
+    }
+
+    private double secondsSinceOldest() {
+        return loop.now() - pending.iterator().next().since();
+    }
+
     private void create(Pending submitted) {
         JobRecord job = submitted.job();
         // A job whose record has been moved was accepted before, and has ended.
-        store.commit(
+        store.commitAcceptance(
                 List.of(new Condition(job.key(), 0), new Condition(EndedJob.key(job.id()), 0)),
                 List.of(Write.put(job.key(), job.encode())),
+                submitted.since() + JobAnswers.ANSWER_WITHIN_S - timing.stateTimeoutS(),
                 result -> answered(submitted, result));
     }
 
@@ -195,7 +239,10 @@
             loop.after(timing.pingS() / 4, () -> create(submitted));
             return;
         }
-        pending--;
+        pending.remove(submitted);
+        if (result.outcome() != Outcome.COMMITTED && unknown(submitted)) {
+            live.dropped(submitted.job().id());
+        }
         switch (result.outcome()) {
             case COMMITTED -> created(submitted, result.revision());
             case REFUSED -> refused(submitted, result);
@@ -239,7 +286,7 @@
 
     private void refused(Pending submitted, CommitResult result) {
         if (result.failed().isEmpty()) {
-            refuseAfterBarrier(submitted, "the state service takes no such record");
+            refuseAfterBarrier(submitted, impossible("the state service takes no such record"));
         } else {
             answerKnown(submitted.call(), submitted.job().id());
         }
--- a/src/main/java/org/springmill/control/coordination/Timing.java
+++ b/src/main/java/org/springmill/control/coordination/Timing.java
@@ -45,7 +45,7 @@
         double unknowingS) {
 
     /** Drift of two clocks against each other, doubled, and timers that fire late. */
-    private static final double DRIFT = 1.002;
+    static final double DRIFT = 1.002;
 
     static Timing of(Settings settings) {
         double lease = settings.workers().leaseS();
--- a/src/main/java/org/springmill/control/coordination/UserApi.java
+++ b/src/main/java/org/springmill/control/coordination/UserApi.java
@@ -1,10 +1,8 @@
 package org.springmill.control.coordination;
 
 import java.util.function.Consumer;
-import java.util.function.Function;
 import org.springmill.control.storage.StateStore;
 import org.springmill.protocol.PeerMessages.Cancellation;
-import org.springmill.protocol.PeerMessages.JobProgress;
 import org.springmill.protocol.UserMessages;
 import org.springmill.transport.HttpHandler.Call;
 import org.springmill.transport.Loop;
@@ -18,25 +16,18 @@
     private final WithdrawalHandler withdrawals;
 
     /**
-     * @param progress of an active job by its id; null where it is not known
      * @param announce told of each cancellation committed here, before its user is
-     * @param maxPending submissions whose records may be on their way to the state service at a
-     *     time
+     * @param submissions accepts jobs
      */
     UserApi(
             JobDirectory directory,
             StateStore store,
-            MachineTypeCatalog catalog,
             Loop loop,
             Timing timing,
-            Function<String, JobProgress> progress,
+            JobAnswers answers,
             Consumer<Cancellation> announce,
-            Metrics metrics,
-            int maxPending) {
-        JobAnswers answers = new JobAnswers(progress);
-        submissions =
-                new SubmissionHandler(
-                        directory, store, catalog, loop, timing, answers, metrics, maxPending);
+            SubmissionHandler submissions) {
+        this.submissions = submissions;
         queries = new JobQueryHandler(directory, answers);
         withdrawals = new WithdrawalHandler(directory, store, loop, timing, answers, announce);
     }
--- /dev/null
+++ b/src/main/java/org/springmill/control/coordination/WorkloadBroadcast.java
@@ -0,0 +1,111 @@
+package org.springmill.control.coordination;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Optional;
+import org.springmill.control.admission.Congestion;
+import org.springmill.control.admission.QueueWaits;
+import org.springmill.protocol.PeerMessages.Congested;
+import org.springmill.protocol.PeerMessages.CongestedQueue;
+import org.springmill.protocol.PeerMessages.JobProgress;
+import org.springmill.protocol.PeerMessages.Progress;
+import org.springmill.transport.Loop;
+
+/**
+ * Tells all controllers, once in each report interval, how far running jobs are and which queues
+ * wait too long. The records of one interval are spread over it, so that the links between
+ * controllers never have to hold those of a whole fleet at once.
+ */
+final class WorkloadBroadcast {
+    private final ClusterState clusterState;
+    private final Peers peers;
+    private final Congestion congestion;
+    private final Optional<QueueWaits> queueWaits;
+    private final Loop loop;
+    private final String node;
+    private final long term;
+    private final double intervalSeconds;
+    private boolean closed;
+
+    /**
+     * @param congestion of this controller, which is told like all others
+     * @param queueWaits empty unless the operators bound how long work may wait
+     * @param node name of this controller
+     */
+    WorkloadBroadcast(
+            ClusterState clusterState,
+            Peers peers,
+            Congestion congestion,
+            Optional<QueueWaits> queueWaits,
+            Loop loop,
+            String node,
+            long term,
+            double intervalSeconds) {
+        this.clusterState = clusterState;
+        this.peers = peers;
+        this.congestion = congestion;
+        this.queueWaits = queueWaits;
+        this.loop = loop;
+        this.node = node;
+        this.term = term;
+        this.intervalSeconds = intervalSeconds;
+    }
+
+    void close() {
+        closed = true;
+    }
+
+    /** Begins to tell; the next interval follows by itself. */
+    void start() {
+        if (closed) {
+            return;
+        }
+        queueWaits.ifPresent(this::tellCongestion);
+        tellProgress();
+        loop.after(intervalSeconds, this::start);
+    }
+
+    /** Notes that these attempts were placed. */
+    void placed(List<Attempt> claimed) {
+        queueWaits.ifPresent(waits -> claimed.forEach(attempt -> placed(waits, attempt)));
+    }
+
+    private void placed(QueueWaits waits, Attempt attempt) {
+        Job job = attempt.job();
+        waits.started(job.spec().team(), job.priority(), 1, loop.now());
+    }
+
+    private void tellProgress() {
+        List<JobProgress> jobs = new ArrayList<>();
+        for (Job job : clusterState.jobs().values()) {
+            if (job.active() && job.liveCount() + job.doneCount() > 0) {
+                jobs.add(job.progress());
+            }
+        }
+        int parts = (jobs.size() + Progress.MOST - 1) / Progress.MOST;
+        for (int part = 0; part < parts; part++) {
+            int from = part * Progress.MOST;
+            int to = Math.min(jobs.size(), from + Progress.MOST);
+            Progress progress = new Progress(node, term, List.copyOf(jobs.subList(from, to)));
+            loop.after(intervalSeconds * part / parts, () -> send(progress));
+        }
+    }
+
+    private void send(Progress progress) {
+        if (!closed) {
+            peers.broadcast(progress);
+        }
+    }
+
+    private void tellCongestion(QueueWaits waits) {
+        waits.beginCount();
+        for (Job job : clusterState.jobs().values()) {
+            if (job.active() && job.eligible() && job.waiting() > 0) {
+                waits.waits(job.spec().team(), job.priority(), job.waiting());
+            }
+        }
+        List<CongestedQueue> queues = waits.endCount(loop.now());
+        congestion.told(queues, loop.now());
+        peers.broadcast(new Congested(node, term, queues));
+    }
+}
--- a/src/main/java/org/springmill/control/storage/RateLimit.java
+++ b/src/main/java/org/springmill/control/storage/RateLimit.java
@@ -33,6 +33,12 @@
         return missing <= TOLERANCE ? 0 : missing / rate;
     }
 
+    /** Seconds until so many will have come, be it more than a bucket's worth. */
+    public double secondsUntil(double amount, double now) {
+        refill(now);
+        return Math.max(0, amount - tokens) / rate;
+    }
+
     /**
      * Takes even what is not there: for requests that must not wait, whose cost the next ones then
      * bear.
--- a/src/main/java/org/springmill/control/storage/StateStore.java
+++ b/src/main/java/org/springmill/control/storage/StateStore.java
@@ -23,17 +23,21 @@
 import org.springmill.transport.Loop;
 
 /**
- * The state service, with this controller's share of its limits.
- *
- * <p>All controllers share the limits without knowing of each other's use, so shares are generous
- * and a 429 is an ordinary answer that callers wait out.
+ * The state service, with this controller's share of its limits: transactions wait for their turn
+ * in a queue, everything else is sent at once.
  */
 public final class StateStore {
     private static final Logger LOG = LoggerFactory.getLogger(StateStore.class);
     private static final byte[] EMPTY = new byte[0];
-    private static final double LEADER_SHARE = 0.6;
-    private static final double FOLLOWER_SHARE = 0.4;
-    private static final int MAX_QUEUED = 256;
+
+    /** Of the requests that the service takes, what transactions of all controllers may be. */
+    private static final double COMMIT_REQUEST_SHARE = 0.4;
+
+    /** Of the requests, what read barriers of all controllers may be. */
+    private static final double BARRIER_REQUEST_SHARE = 0.4;
+
+    /** Of the requests, what lookups of moved records by all controllers may be. */
+    private static final double LOOKUP_REQUEST_SHARE = 0.15;
 
     private final HttpClient http;
     private final Loop loop;
@@ -41,8 +45,16 @@
     private final double timeoutS;
     private final RateLimit requests;
     private final RateLimit writes;
-    private final ArrayDeque<Waiting> queue = new ArrayDeque<>();
+
+    /** Transactions on which work that was accepted depends. They go first. */
+    private final ArrayDeque<Waiting> workQueue = new ArrayDeque<>();
+
+    /** Transactions that accept new work. */
+    private final ArrayDeque<Waiting> acceptanceQueue = new ArrayDeque<>();
+
+    private Share share = Share.WHOLE;
     private Settings.State limits;
+    private int queuedWrites;
     private boolean pumping;
     private boolean reachable;
     private boolean refuses;
@@ -51,6 +63,33 @@
 
     private record Waiting(Request request, int writes, Consumer<Reply> done) {}
 
+    /** This controller's share of what the state service takes from all of them. */
+    public interface Share {
+        /** All of it, for as long as nothing else is said. */
+        Share WHOLE =
+                new Share() {
+                    @Override
+                    public double current() {
+                        return 1;
+                    }
+
+                    @Override
+                    public void sent(int changes) {}
+
+                    @Override
+                    public void queued(int changes) {}
+                };
+
+        /** The share that may be used at this moment. */
+        double current();
+
+        /** Told of changes that were sent. */
+        void sent(int changes);
+
+        /** Told of how many changes wait for their turn. */
+        void queued(int changes);
+    }
+
     /** How a commit ended. */
     public enum Outcome {
         COMMITTED,
@@ -94,15 +133,22 @@
         this.settings = settings;
         this.timeoutS = timeoutS;
         limits = settings.state();
-        requests = new RateLimit(settings.state().requestsPerS() * FOLLOWER_SHARE, loop.now());
-        writes = new RateLimit(settings.state().writesPerS() * FOLLOWER_SHARE, loop.now());
+        double commitsPerS = settings.state().requestsPerS() * COMMIT_REQUEST_SHARE;
+        requests = new RateLimit(commitsPerS, loop.now());
+        writes = new RateLimit(settings.state().writesPerS(), loop.now());
+    }
+
+    /** From now on keeps to a share of the limits. */
+    public void keepTo(Share newShare) {
+        share = newShare;
+        applyShare();
     }
 
-    /** The leader writes the rounds of all, so it takes the larger share. */
-    public void setLeading(boolean leading) {
-        double share = leading ? LEADER_SHARE : FOLLOWER_SHARE;
-        requests.setRate(settings.state().requestsPerS() * share, loop.now());
-        writes.setRate(settings.state().writesPerS() * share, loop.now());
+    private void applyShare() {
+        double current = share.current();
+        double commitsPerS = settings.state().requestsPerS() * COMMIT_REQUEST_SHARE;
+        requests.setRate(commitsPerS * current, loop.now());
+        writes.setRate(settings.state().writesPerS() * current, loop.now());
     }
 
     /** Whether the last request that came to an end was served. */
@@ -127,13 +173,27 @@
         onCommit = taker;
     }
 
-    /** Requests that wait for their turn; a measure of overload. */
+    /** Read barriers that this controller may ask for in a second. */
+    public double barriersPerS() {
+        return settings.state().requestsPerS() * BARRIER_REQUEST_SHARE / settings.controllers();
+    }
+
+    /** Lookups of moved records that this controller may ask for in a second. */
+    public double lookupsPerS() {
+        return settings.state().requestsPerS() * LOOKUP_REQUEST_SHARE / settings.controllers();
+    }
+
+    /** Transactions that wait for their turn; a measure of overload. */
     public int backlog() {
-        return queue.size();
+        return workQueue.size() + acceptanceQueue.size();
     }
 
-    public boolean full() {
-        return queue.size() >= MAX_QUEUED;
+    /** How long one more transaction of so many changes would wait, by the present share. */
+    public double expectedWaitSeconds(int changes) {
+        applyShare();
+        double forWrites = writes.secondsUntil(queuedWrites + changes, loop.now());
+        double forRequests = requests.secondsUntil(backlog() + 1, loop.now());
+        return Math.max(forWrites, forRequests);
     }
 
     public void get(String key, Consumer<ReadResult> done) {
@@ -197,27 +257,52 @@
                 });
     }
 
+    /** Commits changes on which work that was accepted depends. */
     public void commit(
             List<Condition> conditions, List<Write> changes, Consumer<CommitResult> done) {
+        enqueue(workQueue, waiting(conditions, changes, done));
+    }
+
+    /**
+     * Commits changes that accept new work, after those of {@link #commit}. What has not been sent
+     * by the given time never is: {@link Outcome#NOT_NOW}.
+     */
+    public void commitAcceptance(
+            List<Condition> conditions,
+            List<Write> changes,
+            double sendBy,
+            Consumer<CommitResult> done) {
+        Waiting waiting = waiting(conditions, changes, done);
+        enqueue(acceptanceQueue, waiting);
+        if (acceptanceQueue.contains(waiting)) {
+            loop.after(sendBy - loop.now(), () -> giveUp(waiting));
+        }
+    }
+
+    private void giveUp(Waiting waiting) {
+        if (acceptanceQueue.remove(waiting)) {
+            queued(-waiting.writes());
+            waiting.done().accept(Reply.NOT_SENT);
+        }
+    }
+
+    private Waiting waiting(
+            List<Condition> conditions, List<Write> changes, Consumer<CommitResult> done) {
         byte[] body = StateMessages.commit(conditions, changes);
+        Request request =
+                new Request(settings.stateAddress(), "POST", StateMessages.COMMIT, body, timeoutS);
         double since = loop.now();
         Settings.State under = limits;
-        enqueue(
-                new Waiting(
-                        new Request(
-                                settings.stateAddress(),
-                                "POST",
-                                StateMessages.COMMIT,
-                                body,
-                                timeoutS),
-                        changes.size(),
-                        reply -> {
-                            CommitResult result = commitResult(reply, changes, under);
-                            if (result.outcome() != Outcome.UNKNOWN) {
-                                onCommit.accept(since);
-                            }
-                            done.accept(result);
-                        }));
+        return new Waiting(
+                request,
+                changes.size(),
+                reply -> {
+                    CommitResult result = commitResult(reply, changes, under);
+                    if (result.outcome() != Outcome.UNKNOWN) {
+                        onCommit.accept(since);
+                    }
+                    done.accept(result);
+                });
     }
 
     private CommitResult commitResult(Reply reply, List<Write> changes, Settings.State under) {
@@ -326,37 +411,57 @@
     /** Sends past the queue. Reads and renewals are few and others wait for them. */
     private void now(
             String method, String path, byte[] body, double timeoutS, Consumer<Reply> done) {
-        requests.take(1, loop.now());
         send(new Request(settings.stateAddress(), method, path, body, timeoutS), done);
     }
 
-    private void enqueue(Waiting waiting) {
+    private void enqueue(ArrayDeque<Waiting> queue, Waiting waiting) {
         queue.add(waiting);
-        if (!pumping) {
+        queued(waiting.writes());
+        if (!pumping || queue == workQueue) {
             pump();
         }
     }
 
+    private void queued(int change) {
+        queuedWrites += change;
+        share.queued(queuedWrites);
+    }
+
     private void pump() {
-        pumping = false;
-        while (!queue.isEmpty()) {
+        while (backlog() > 0) {
+            applyShare();
+            ArrayDeque<Waiting> queue = workQueue.isEmpty() ? acceptanceQueue : workQueue;
             Waiting next = queue.peek();
             double wait =
                     Math.max(
                             requests.waitFor(1, loop.now()),
                             writes.waitFor(next.writes(), loop.now()));
             if (wait > 0) {
-                pumping = true;
-                loop.after(wait, this::pump);
+                pumpAfter(wait);
                 return;
             }
             queue.poll();
+            queued(-next.writes());
             requests.take(1, loop.now());
             writes.take(next.writes(), loop.now());
+            share.sent(next.writes());
             send(next.request(), next.done());
         }
     }
 
+    /** The share may grow meanwhile, so a long wait is cut into parts. */
+    private void pumpAfter(double seconds) {
+        if (!pumping) {
+            pumping = true;
+            loop.after(
+                    Math.min(seconds, timeoutS / 4),
+                    () -> {
+                        pumping = false;
+                        pump();
+                    });
+        }
+    }
+
     private void send(Request request, Consumer<Reply> done) {
         http.send(
                 request,
--- a/src/main/java/org/springmill/protocol/OperatorSettingsFile.java
+++ b/src/main/java/org/springmill/protocol/OperatorSettingsFile.java
@@ -19,6 +19,20 @@
     private static final String PENDING_SUBMISSIONS = "pending_submissions";
     private static final String HISTORY = "history";
     private static final String RETENTION = "retention_s";
+    private static final String ADMISSION = "admission";
+    private static final String MAX_WAIT = "max_wait_s";
+    private static final String LEADER_SHARE = "leader_share";
+
+    /** Starts are counted over a quarter of it, which has to be long enough to mean something. */
+    private static final double MIN_MAX_WAIT_S = 20;
+
+    private static final double MAX_MAX_WAIT_S = 7 * 86_400.0;
+
+    /** The leader writes the rounds of all, and lends half of its share. */
+    private static final double MIN_LEADER_SHARE = 0.4;
+
+    /** The other controllers need some to accept jobs. */
+    private static final double MAX_LEADER_SHARE = 0.9;
 
     /** Users poll until they have been told the end of their job, which takes seconds. */
     private static final double MIN_RETENTION_S = 30;
@@ -29,7 +43,8 @@
             Map.of(
                     RENTALS, Set.of(IDLE_BOOTS, BOOT_PATIENCE, RESERVE),
                     USERS, Set.of(PENDING_SUBMISSIONS),
-                    HISTORY, Set.of(RETENTION));
+                    HISTORY, Set.of(RETENTION),
+                    ADMISSION, Set.of(MAX_WAIT, LEADER_SHARE));
 
     private final Path file;
     private final Map<String, Object> blocks;
@@ -75,9 +90,28 @@
         double bootPatience = number(RENTALS, BOOT_PATIENCE, defaults.bootPatience(), 1.5, 100);
         double reserve = number(RENTALS, RESERVE, defaults.reserve(), 0, 10);
         double pendingSubmissions =
-                number(USERS, PENDING_SUBMISSIONS, defaults.pendingSubmissions(), 1, 10_000);
+                number(USERS, PENDING_SUBMISSIONS, defaults.pendingSubmissions(), 1, 1_000_000);
+        double leaderShare =
+                number(
+                        ADMISSION,
+                        LEADER_SHARE,
+                        defaults.leaderShare(),
+                        MIN_LEADER_SHARE,
+                        MAX_LEADER_SHARE);
         return new OperatorSettings(
-                idleBoots, bootPatience, reserve, (int) pendingSubmissions, historyRetention());
+                idleBoots,
+                bootPatience,
+                reserve,
+                (int) pendingSubmissions,
+                historyRetention(),
+                maxWait(),
+                leaderShare);
+    }
+
+    /** Unless it is given, the wait is not bounded. */
+    private OptionalDouble maxWait() throws SettingsException {
+        double maxWait = number(ADMISSION, MAX_WAIT, Double.NaN, MIN_MAX_WAIT_S, MAX_MAX_WAIT_S);
+        return Double.isNaN(maxWait) ? OptionalDouble.empty() : OptionalDouble.of(maxWait);
     }
 
     /** The block switches the history on, so it has to say for how long records stay. */
--- a/src/main/java/org/springmill/protocol/PeerMessages.java
+++ b/src/main/java/org/springmill/protocol/PeerMessages.java
@@ -15,6 +15,7 @@
     private static final int STATUS = 1;
     private static final int PROGRESS = 2;
     private static final int CANCELLED = 3;
+    private static final int CONGESTED = 4;
 
     private PeerMessages() {}
 
@@ -42,6 +43,8 @@
      * @param news what it knows of cancelled jobs; {@link News#NONE} from a version that does not
      *     tell
      * @param keepsHistory whether it takes part in the bounded history
+     * @param stateShare share of the state service's changes: in a question what the asker needs
+     *     beyond its own, in an answer what it is lent; 0 from a version that does not lend
      */
     public record Status(
             String from,
@@ -55,10 +58,13 @@
             int witnessAgoMs,
             long term,
             News news,
-            boolean keepsHistory)
+            boolean keepsHistory,
+            double stateShare)
             implements PeerRecord {
 
-        /** The status of a controller that takes no part in the bounded history. */
+        /**
+         * The status of a controller that takes no part in the bounded history and lends nothing.
+         */
         public Status(
                 String from,
                 long question,
@@ -83,7 +89,8 @@
                     witnessAgoMs,
                     term,
                     news,
-                    false);
+                    false,
+                    0);
         }
     }
 
@@ -126,48 +133,40 @@
         public static final int MOST = 400;
     }
 
+    /**
+     * A queue that waits too long for its starts.
+     *
+     * @param team the team whose work waits, or {@link #ALL_TEAMS}
+     * @param priority work of this priority, or of a higher one, waits in it
+     * @param excessSeconds by how much its expected wait is too long
+     */
+    public record CongestedQueue(String team, Priority priority, double excessSeconds) {
+        /** Stands for the work of all teams together. */
+        public static final String ALL_TEAMS = "";
+    }
+
+    /** The queues that the leader finds to wait too long, those that wait longest first. */
+    public record Congested(String from, long term, List<CongestedQueue> queues)
+            implements PeerRecord {
+        /** So many queues go into one record. */
+        public static final int MOST = 1000;
+    }
+
     /** Writes a record; lists that are longer than their bound are cut short. */
     public static byte[] encode(PeerRecord message) {
         ByteArrayOutputStream bytes = new ByteArrayOutputStream(64);
         try (DataOutputStream out = new DataOutputStream(bytes)) {
             out.writeByte(VERSION);
-            if (message instanceof Status s) {
-                out.writeByte(STATUS);
-                out.writeUTF(s.from);
-                out.writeLong(s.question);
-                out.writeLong(s.echo);
-                out.writeBoolean(s.stateReachable);
-                out.writeBoolean(s.leading);
-                out.writeBoolean(s.informed);
-                out.writeInt(s.workers);
-                out.writeBoolean(s.leaderSilent);
-                out.writeInt(s.witnessAgoMs);
-                out.writeLong(s.term);
-                // Fields of later versions come after these: earlier ones leave unread what they do
-                // not know.
-                out.writeLong(s.news.revision);
-                out.writeLong(s.news.bookmark);
-                out.writeBoolean(s.news.complete);
-                out.writeBoolean(s.news.informed);
-                write(out, s.news.cancellations);
-                if (s.keepsHistory) {
-                    out.writeBoolean(true);
-                }
-            } else if (message instanceof Cancelled c) {
+            if (message instanceof Status status) {
+                write(out, status);
+            } else if (message instanceof Cancelled cancelled) {
                 out.writeByte(CANCELLED);
-                out.writeUTF(c.from);
-                write(out, c.cancellations);
-            } else if (message instanceof Progress p) {
-                out.writeByte(PROGRESS);
-                out.writeUTF(p.from);
-                out.writeLong(p.term);
-                int count = Math.min(Progress.MOST, p.jobs.size());
-                out.writeShort(count);
-                for (JobProgress job : p.jobs.subList(0, count)) {
-                    out.writeUTF(job.job);
-                    out.writeInt(job.done);
-                    out.writeInt(job.running);
-                }
+                out.writeUTF(cancelled.from);
+                write(out, cancelled.cancellations);
+            } else if (message instanceof Progress progress) {
+                write(out, progress);
+            } else if (message instanceof Congested congested) {
+                write(out, congested);
             }
         } catch (IOException e) {
             throw new UncheckedIOException(e);
@@ -175,6 +174,60 @@
         return bytes.toByteArray();
     }
 
+    private static void write(DataOutputStream out, Status status) throws IOException {
+        out.writeByte(STATUS);
+        out.writeUTF(status.from);
+        out.writeLong(status.question);
+        out.writeLong(status.echo);
+        out.writeBoolean(status.stateReachable);
+        out.writeBoolean(status.leading);
+        out.writeBoolean(status.informed);
+        out.writeInt(status.workers);
+        out.writeBoolean(status.leaderSilent);
+        out.writeInt(status.witnessAgoMs);
+        out.writeLong(status.term);
+        // Fields of later versions come after these: earlier ones leave unread what they do not
+        // know. The last ones are left out where they say nothing, as earlier versions do.
+        out.writeLong(status.news.revision);
+        out.writeLong(status.news.bookmark);
+        out.writeBoolean(status.news.complete);
+        out.writeBoolean(status.news.informed);
+        write(out, status.news.cancellations);
+        boolean lends = status.stateShare != 0;
+        if (status.keepsHistory || lends) {
+            out.writeBoolean(status.keepsHistory);
+        }
+        if (lends) {
+            out.writeDouble(status.stateShare);
+        }
+    }
+
+    private static void write(DataOutputStream out, Progress progress) throws IOException {
+        out.writeByte(PROGRESS);
+        out.writeUTF(progress.from);
+        out.writeLong(progress.term);
+        int count = Math.min(Progress.MOST, progress.jobs.size());
+        out.writeShort(count);
+        for (JobProgress job : progress.jobs.subList(0, count)) {
+            out.writeUTF(job.job);
+            out.writeInt(job.done);
+            out.writeInt(job.running);
+        }
+    }
+
+    private static void write(DataOutputStream out, Congested congested) throws IOException {
+        out.writeByte(CONGESTED);
+        out.writeUTF(congested.from);
+        out.writeLong(congested.term);
+        int count = Math.min(Congested.MOST, congested.queues.size());
+        out.writeShort(count);
+        for (CongestedQueue queue : congested.queues.subList(0, count)) {
+            out.writeUTF(queue.team);
+            out.writeUTF(queue.priority.wire());
+            out.writeFloat((float) queue.excessSeconds);
+        }
+    }
+
     /**
      * Reads a record.
      *
@@ -187,50 +240,77 @@
                 throw new BadMessageException("peer record of version " + version);
             }
             int kind = in.readUnsignedByte();
-            if (kind == STATUS) {
-                return new Status(
-                        in.readUTF(),
-                        in.readLong(),
-                        in.readLong(),
-                        in.readBoolean(),
-                        in.readBoolean(),
-                        in.readBoolean(),
-                        in.readInt(),
-                        in.readBoolean(),
-                        in.readInt(),
-                        in.readLong(),
-                        in.available() == 0
-                                ? News.NONE
-                                : new News(
-                                        in.readLong(),
-                                        in.readLong(),
-                                        in.readBoolean(),
-                                        in.readBoolean(),
-                                        readCancellations(in)),
-                        in.available() > 0 && in.readBoolean());
-            }
-            if (kind == CANCELLED) {
-                return new Cancelled(in.readUTF(), readCancellations(in));
-            }
-            if (kind != PROGRESS) {
-                throw new BadMessageException("peer record of kind " + kind);
-            }
-            String from = in.readUTF();
-            long term = in.readLong();
-            int count = in.readUnsignedShort();
-            if (count > Progress.MOST) {
-                throw new BadMessageException("peer record of " + count + " jobs");
-            }
-            List<JobProgress> jobs = new ArrayList<>(count);
-            for (int i = 0; i < count; i++) {
-                jobs.add(new JobProgress(in.readUTF(), in.readInt(), in.readInt()));
-            }
-            return new Progress(from, term, jobs);
+            return switch (kind) {
+                case STATUS -> readStatus(in);
+                case CANCELLED -> new Cancelled(in.readUTF(), readCancellations(in));
+                case PROGRESS -> readProgress(in);
+                case CONGESTED -> readCongested(in);
+                default -> throw new BadMessageException("peer record of kind " + kind);
+            };
         } catch (IOException e) {
             throw new BadMessageException("peer record cut short");
         }
     }
 
+    private static Status readStatus(DataInputStream in) throws IOException, BadMessageException {
+        return new Status(
+                in.readUTF(),
+                in.readLong(),
+                in.readLong(),
+                in.readBoolean(),
+                in.readBoolean(),
+                in.readBoolean(),
+                in.readInt(),
+                in.readBoolean(),
+                in.readInt(),
+                in.readLong(),
+                in.available() == 0 ? News.NONE : readNews(in),
+                in.available() > 0 && in.readBoolean(),
+                in.available() > 0 ? in.readDouble() : 0);
+    }
+
+    private static News readNews(DataInputStream in) throws IOException, BadMessageException {
+        return new News(
+                in.readLong(),
+                in.readLong(),
+                in.readBoolean(),
+                in.readBoolean(),
+                readCancellations(in));
+    }
+
+    private static Progress readProgress(DataInputStream in)
+            throws IOException, BadMessageException {
+        String from = in.readUTF();
+        long term = in.readLong();
+        int count = readCount(in, Progress.MOST, "jobs");
+        List<JobProgress> jobs = new ArrayList<>(count);
+        for (int i = 0; i < count; i++) {
+            jobs.add(new JobProgress(in.readUTF(), in.readInt(), in.readInt()));
+        }
+        return new Progress(from, term, jobs);
+    }
+
+    private static Congested readCongested(DataInputStream in)
+            throws IOException, BadMessageException {
+        String from = in.readUTF();
+        long term = in.readLong();
+        int count = readCount(in, Congested.MOST, "queues");
+        List<CongestedQueue> queues = new ArrayList<>(count);
+        for (int i = 0; i < count; i++) {
+            queues.add(new CongestedQueue(in.readUTF(), Priority.of(in.readUTF()), in.readFloat()));
+        }
+        return new Congested(from, term, queues);
+    }
+
+    private static int readCount(DataInputStream in, int most, String things)
+            throws IOException, BadMessageException {
+        int count = in.readUnsignedShort();
+        if (count > most) {
+            throw new BadMessageException("peer record of " + count + " " + things);
+        }
+        return count;
+    }
+
     private static void write(DataOutputStream out, List<Cancellation> cancellations)
             throws IOException {
         int count = Math.min(News.MOST, cancellations.size());
@@ -244,10 +324,7 @@
 
     private static List<Cancellation> readCancellations(DataInputStream in)
             throws IOException, BadMessageException {
-        int count = in.readUnsignedShort();
-        if (count > News.MOST) {
-            throw new BadMessageException("peer record of " + count + " cancellations");
-        }
+        int count = readCount(in, News.MOST, "cancellations");
         List<Cancellation> cancellations = new ArrayList<>(count);
         for (int i = 0; i < count; i++) {
             cancellations.add(new Cancellation(in.readUTF(), in.readLong(), in.readDouble()));
--- a/src/main/java/org/springmill/protocol/Settings.java
+++ b/src/main/java/org/springmill/protocol/Settings.java
@@ -133,7 +133,30 @@
      *
      * @param cpuShare share of one core
      */
-    public record Limits(double cpuShare, double memoryMb, int maxSockets) {}
+    public record Limits(double cpuShare, double memoryMb, int maxSockets) {
+        /**
+         * What a controller holds beside its heap: classes, compiled code, buffers and stacks, as
+         * bounded in the run line of deploy/service.toml.
+         */
+        static final int MEMORY_BESIDE_HEAP_MB = 72;
+
+        private static final double BYTES_PER_MB = 1024.0 * 1024.0;
+
+        /**
+         * The largest heap that this controller may have.
+         *
+         * @param heapBoundBytes what the process was started with
+         */
+        public double heapBytes(double heapBoundBytes) {
+            double besideTheRest = (memoryMb - MEMORY_BESIDE_HEAP_MB) * BYTES_PER_MB;
+            return Math.min(heapBoundBytes, besideTheRest);
+        }
+    }
+
+    /** How many controllers there are, this one included. */
+    public int controllers() {
+        return peers.size() + 1;
+    }
 
     /** The team of that name, or null. */
     public Team team(String name) {
--- a/src/main/java/org/springmill/protocol/SettingsWarnings.java
+++ b/src/main/java/org/springmill/protocol/SettingsWarnings.java
@@ -11,12 +11,6 @@
     /** A report may be late by a quarter of its interval, and one may be lost on the way. */
     private static final double REPORTS_PER_LEASE = 2.5;
 
-    /**
-     * What a controller holds beside its heap: classes, compiled code, buffers and stacks, as
-     * bounded in the run line of deploy/service.toml.
-     */
-    private static final int MEMORY_BESIDE_HEAP_MB = 72;
-
     private SettingsWarnings() {}
 
     /**
@@ -64,7 +58,7 @@
 
     private static void addMemory(
             Settings.Limits limits, double heapBoundMb, List<String> warnings) {
-        if (heapBoundMb + MEMORY_BESIDE_HEAP_MB > limits.memoryMb()) {
+        if (heapBoundMb + Settings.Limits.MEMORY_BESIDE_HEAP_MB > limits.memoryMb()) {
             warnings.add(
                     String.format(
                             "cluster.machine_limits.ram_mb is %.0f, but as started here the heap may"
@@ -72,8 +66,8 @@
                                     + " with -Xmx%.0fm or less",
                             limits.memoryMb(),
                             heapBoundMb,
-                            MEMORY_BESIDE_HEAP_MB,
-                            limits.memoryMb() - MEMORY_BESIDE_HEAP_MB));
+                            Settings.Limits.MEMORY_BESIDE_HEAP_MB,
+                            limits.memoryMb() - Settings.Limits.MEMORY_BESIDE_HEAP_MB));
         }
     }
 }
--- a/src/main/java/org/springmill/transport/HttpClient.java
+++ b/src/main/java/org/springmill/transport/HttpClient.java
@@ -21,11 +21,18 @@
      * <p>The two ways of having no answer differ in what they prove: a request that was {@link
      * #NOT_SENT} can never be executed, one that was {@link #LOST} may have been executed, or may
      * yet be, minutes later.
+     *
+     * @param retryAfterS from {@code Retry-After}; 0 if there is none
      */
-    record Reply(int status, byte[] body) {
+    record Reply(int status, byte[] body, int retryAfterS) {
         public static final Reply NOT_SENT = new Reply(-1, new byte[0]);
         public static final Reply LOST = new Reply(0, new byte[0]);
 
+        /** An answer without {@code Retry-After}. */
+        public Reply(int status, byte[] body) {
+            this(status, body, 0);
+        }
+
         /** Whether there is an answer, whatever its status. */
         public boolean answered() {
             return status > 0;
--- a/src/main/java/org/springmill/transport/UndertowClients.java
+++ b/src/main/java/org/springmill/transport/UndertowClients.java
@@ -386,9 +386,15 @@
             } else if (!finished) {
                 pool.idle(connection);
             }
-            finish(new Reply(status, body.toByteArray()));
+            finish(new Reply(status, body.toByteArray(), retryAfterSeconds(answer)));
             pool.pump();
             serveCrowdedOut();
         }
+
+        private static int retryAfterSeconds(ClientExchange answer) {
+            String header = answer.getResponse().getResponseHeaders().getFirst(Headers.RETRY_AFTER);
+            boolean isNumber = header != null && header.matches("\\d{1,6}");
+            return isNumber ? Integer.parseInt(header) : 0;
+        }
     }
 }
--- a/src/test/java/org/springmill/control/coordination/PeersTest.java
+++ b/src/test/java/org/springmill/control/coordination/PeersTest.java
@@ -9,6 +9,7 @@
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.CsvSource;
+import org.springmill.control.admission.StateShares;
 import org.springmill.control.storage.StateStore;
 import org.springmill.protocol.PeerMessages;
 import org.springmill.protocol.PeerMessages.News;
@@ -53,6 +54,7 @@
                         settings,
                         timing,
                         new JobDirectory(store, clock, timing, 1),
+                        new StateShares(clock, () -> 0, 0.6, 3, timing.renewS(), 1.002, 20),
                         () ->
                                 new Status(
                                         "n-0", 0, 0, true, leading, true, 0, false, 0, term,
--- /dev/null
+++ b/src/test/java/org/springmill/sim/SimOptions.java
@@ -0,0 +1,80 @@
+package org.springmill.sim;
+
+import java.util.OptionalDouble;
+import org.springmill.protocol.OperatorSettings;
+import org.springmill.protocol.Settings;
+
+/**
+ * What a simulated cluster starts with.
+ *
+ * @param seed of everything that is random
+ * @param operator the operators' settings of all controllers
+ * @param stateLimits limits of the state service in the settings of all controllers
+ * @param heapBytes the largest heap of each controller
+ */
+public record SimOptions(
+        long seed, OperatorSettings operator, Settings.State stateLimits, double heapBytes) {
+    private static final double HEAP_BYTES = 56 * 1024 * 1024;
+
+    /** What holds unless a test says otherwise. */
+    public static final SimOptions DEFAULTS =
+            new SimOptions(1, OperatorSettings.DEFAULTS, SimSettings.STATE_LIMITS, HEAP_BYTES);
+
+    public SimOptions withSeed(long newSeed) {
+        return new SimOptions(newSeed, operator, stateLimits, heapBytes);
+    }
+
+    public SimOptions withOperator(OperatorSettings settings) {
+        return new SimOptions(seed, settings, stateLimits, heapBytes);
+    }
+
+    public SimOptions withStateLimits(Settings.State limits) {
+        return new SimOptions(seed, operator, limits, heapBytes);
+    }
+
+    public SimOptions withHeapBytes(double bytes) {
+        return new SimOptions(seed, operator, stateLimits, bytes);
+    }
+
+    /** Idle machines are kept for so many boots. */
+    public SimOptions withIdleBoots(double boots) {
+        OperatorSettings o = operator;
+        return withOperator(
+                new OperatorSettings(
+                        boots,
+                        o.bootPatience(),
+                        o.reserve(),
+                        o.pendingSubmissions(),
+                        o.historyRetentionS(),
+                        o.maxWaitS(),
+                        o.leaderShare()));
+    }
+
+    /** All controllers keep the bounded history with that retention, or do not take part in it. */
+    public SimOptions withHistoryRetention(OptionalDouble seconds) {
+        OperatorSettings o = operator;
+        return withOperator(
+                new OperatorSettings(
+                        o.idleBoots(),
+                        o.bootPatience(),
+                        o.reserve(),
+                        o.pendingSubmissions(),
+                        seconds,
+                        o.maxWaitS(),
+                        o.leaderShare()));
+    }
+
+    /** Submissions are accepted only into queues whose expected wait is no longer than that. */
+    public SimOptions withMaxWait(double seconds) {
+        OperatorSettings o = operator;
+        return withOperator(
+                new OperatorSettings(
+                        o.idleBoots(),
+                        o.bootPatience(),
+                        o.reserve(),
+                        o.pendingSubmissions(),
+                        o.historyRetentionS(),
+                        OptionalDouble.of(seconds),
+                        o.leaderShare()));
+    }
+}
