--- a/src/main/java/org/springmill/control/admission/AdmissionControl.java
+++ b/src/main/java/org/springmill/control/admission/AdmissionControl.java
@@ -67,8 +67,7 @@
      */
     public Optional<AdmissionRefusal> refusal(Submission job, double queueSeconds) {
         double now = loop.now();
-        Team team = settings.team(job.team());
-        boolean guaranteed = team != null && live.withinGuarantee(team, job);
+        boolean guaranteed = isGuaranteed(job);
         double excessBytes = memory.excess(live, endedBytes(), job, guaranteed);
         if (excessBytes > 0) {
             return refuse(AdmissionReason.MEMORY, drainSeconds(excessBytes, now));
@@ -83,6 +82,19 @@
         return Optional.empty();
     }
 
+    /**
+     * Whether a job can only be taken after a look at what other controllers have accepted, since
+     * little is left of the memory that it may need.
+     */
+    public boolean nearBound(Submission job) {
+        return memory.isNear(live, endedBytes(), job, isGuaranteed(job));
+    }
+
+    private boolean isGuaranteed(Submission job) {
+        Team team = settings.team(job.team());
+        return team != null && live.withinGuarantee(team, job);
+    }
+
     private double drainSeconds(double excessBytes, double now) {
         double freed = live.freedBytesPerSecond(now);
         return freed > 0 ? excessBytes / freed : UNKNOWN_DRAIN_SECONDS;
--- a/src/main/java/org/springmill/control/admission/MemoryBound.java
+++ b/src/main/java/org/springmill/control/admission/MemoryBound.java
@@ -26,6 +26,9 @@
     /** Of what its priority may need, the most that one team may. */
     private static final double TEAM_SHARE = 0.5;
 
+    /** Of a bound, what has to be in use before every new job is checked against it anew. */
+    private static final double NEAR_SHARE = 0.9;
+
     private final long bytes;
 
     /**
@@ -45,10 +48,21 @@
      * @param endedBytes memory of the records of ended jobs
      */
     double excess(LiveWork live, long endedBytes, Submission job, boolean guaranteed) {
+        return Math.max(0, over(1, live, endedBytes, job, guaranteed));
+    }
+
+    /** Whether most of what the job may use is in use. */
+    boolean isNear(LiveWork live, long endedBytes, Submission job, boolean guaranteed) {
+        return over(NEAR_SHARE, live, endedBytes, job, guaranteed) > 0;
+    }
+
+    /** By how much a job would exceed a part of its bound; negative if it would not. */
+    private double over(
+            double part, LiveWork live, long endedBytes, Submission job, boolean guaranteed) {
+        double bound = part * bytes * (guaranteed ? 1 : SHARE_BY_PRIORITY.get(job.priority()));
         long need = LiveWork.bytesOf(job);
-        double share = guaranteed ? 1 : SHARE_BY_PRIORITY.get(job.priority());
-        double ofAll = live.bytes() + endedBytes + need - bytes * share;
-        double ofTeam = live.bytes(job.team()) + need - bytes * share * TEAM_SHARE;
-        return Math.max(0, guaranteed ? ofAll : Math.max(ofAll, ofTeam));
+        double ofAll = live.bytes() + endedBytes + need - bound;
+        double ofTeam = live.bytes(job.team()) + need - bound * TEAM_SHARE;
+        return guaranteed ? ofAll : Math.max(ofAll, ofTeam);
     }
 }
--- a/src/main/java/org/springmill/control/admission/QueueWaits.java
+++ b/src/main/java/org/springmill/control/admission/QueueWaits.java
@@ -25,11 +25,12 @@
     /** The window in which starts are counted, as a ratio to the longest wait. */
     static final double WINDOW_SHARE = 0.25;
 
-    /** Counts are kept by slices of the window. */
-    private static final int SLICES = 12;
+    /** Counts are kept by slices of the window, which is exact to one of them. */
+    private static final int SLICES = 50;
 
     private final double maxWaitSeconds;
     private final double windowSeconds;
+    private final double sliceSeconds;
     private final Map<Queue, Starts> starts = new HashMap<>();
     private final Map<Queue, Integer> waiting = new HashMap<>();
     private final Map<Queue, Double> waitingSince = new HashMap<>();
@@ -43,7 +44,6 @@
         private int sum;
 
         void add(int count, double now) {
-            double sliceSeconds = windowSeconds / SLICES;
             if (slices.isEmpty() || slices.peekLast().from + sliceSeconds <= now) {
                 slices.add(new Slice(now));
             }
@@ -52,7 +52,7 @@
         }
 
         int inWindow(double now) {
-            while (!slices.isEmpty() && slices.peek().from <= now - windowSeconds) {
+            while (!slices.isEmpty() && slices.peek().from <= now - windowSeconds - sliceSeconds) {
                 sum -= slices.poll().count;
             }
             return sum;
@@ -74,6 +74,7 @@
     public QueueWaits(double maxWaitSeconds) {
         this.maxWaitSeconds = maxWaitSeconds;
         windowSeconds = maxWaitSeconds * WINDOW_SHARE;
+        sliceSeconds = windowSeconds / SLICES;
     }
 
     /** Notes that tasks of a team were placed. */
--- a/src/main/java/org/springmill/control/admission/StateShares.java
+++ b/src/main/java/org/springmill/control/admission/StateShares.java
@@ -28,6 +28,7 @@
     private final LongSupplier validTerm;
     private final double leaderShare;
     private final double otherShare;
+    private final double mostLent;
     private final double validitySeconds;
     private final double lenderValiditySeconds;
     private final double changesPerSecond;
@@ -67,6 +68,7 @@
         this.loop = loop;
         this.validTerm = validTerm;
         this.leaderShare = controllers == 1 ? 1 : leaderShare;
+        mostLent = controllers == 1 ? 0 : leaderShare * LENDABLE;
         this.otherShare = otherShare(leaderShare, controllers);
         this.validitySeconds = validitySeconds;
         this.lenderValiditySeconds = validitySeconds * clockDrift;
@@ -108,7 +110,7 @@
         if (leading(now)) {
             return 0;
         }
-        return Math.max(0, Math.min(mostLent(), need(now) - otherShare));
+        return Math.max(0, Math.min(mostLent, need(now) - otherShare));
     }
 
     /**
@@ -124,7 +126,7 @@
             return 0;
         }
         double lentToOthers = lent(now) - outstanding(borrower, now);
-        double spare = leaderShare - Math.max(need(now) * RESERVE, leaderShare - mostLent());
+        double spare = leaderShare - Math.max(need(now) * RESERVE, leaderShare - mostLent);
         double share = Math.max(0, Math.min(wanted, spare - lentToOthers));
         if (share > 0) {
             loans.computeIfAbsent(borrower, name -> new ArrayDeque<>())
@@ -159,14 +161,10 @@
         return (used.perSecond(now) + queuedChanges) / changesPerSecond;
     }
 
-    private double mostLent() {
-        return leaderShare * LENDABLE;
-    }
-
     private double lent(double now) {
         if (now - leadsSince < lenderValiditySeconds) {
             // What an earlier leader has lent may be in use until it ends.
-            return mostLent();
+            return mostLent;
         }
         double sum = 0;
         for (String borrower : loans.keySet()) {
--- a/src/main/java/org/springmill/control/coordination/CommandDispatcher.java
+++ b/src/main/java/org/springmill/control/coordination/CommandDispatcher.java
@@ -31,7 +31,10 @@
      * have fallen silent are all asked: when a rack is gone each question takes its whole time, and
      * asked in turns the last ones were known to be dead many seconds after the first.
      */
-    private static final int MAX_PROBES = 16;
+    private static final int MIN_PROBES = 16;
+
+    /** In a large fleet one machine in so many may be asked at a time. */
+    private static final int MACHINES_PER_PROBE = 64;
 
     /** Unconfirmed commands are sent again so often between two reports. */
     private static final double RESENDS_PER_REPORT = 2;
@@ -81,7 +84,7 @@
         List<Command> due = machine.session() == 0 ? List.of() : due(machine);
         boolean probe = due.isEmpty() && machine.session() == 0;
         boolean nothingToAsk = due.isEmpty() && !machine.askAgain;
-        if (nothingToAsk || (probe && probes >= MAX_PROBES)) {
+        if (nothingToAsk || (probe && probes >= maxProbes())) {
             return;
         }
         machine.askAgain = false;
@@ -105,6 +108,10 @@
                 });
     }
 
+    private int maxProbes() {
+        return Math.max(MIN_PROBES, fleet.machines().size() / MACHINES_PER_PROBE);
+    }
+
     private boolean canBeAsked(Machine machine) {
         boolean mayRun =
                 machine.state() == Machine.State.UP || machine.state() == Machine.State.EXPECTED;
@@ -217,14 +224,16 @@
      *     up by the network would run anew, so it is made void first
      */
     private boolean removeUnknownTasks(Machine machine, double now, List<Command> commands) {
-        if (now < machine.nextStray) {
+        if (now < machine.nextStray || machine.allReportedKnown()) {
             return false;
         }
         boolean raiseToken = false;
+        boolean allKnown = true;
         for (TaskReport task : machine.reported()) {
             if (machine.find(task) != null) {
                 continue;
             }
+            allKnown = false;
             machine.nextStray = now + resendIntervalSeconds();
             if (task.state() == TaskState.EXITED) {
                 commands.add(new Forget(task.task(), task.attempt()));
@@ -233,6 +242,9 @@
                 commands.add(new Stop(task.task(), task.attempt(), 0));
             }
         }
+        if (allKnown) {
+            machine.noteAllReportedKnown();
+        }
         return raiseToken;
     }
 
--- a/src/main/java/org/springmill/control/coordination/Leader.java
+++ b/src/main/java/org/springmill/control/coordination/Leader.java
@@ -93,7 +93,8 @@
                         store,
                         loop,
                         leadership.condition(),
-                        id -> clusterState.job(id) != null && clusterState.job(id).active());
+                        id -> clusterState.job(id) != null && clusterState.job(id).active(),
+                        settings.limits().cpuShare());
         reconciliation =
                 new Reconciliation(fleet, timing, peers, metrics, this::wake, leadership::deposed);
         dispatcher = new CommandDispatcher(fleet, http, timing, reconciliation::accept);
--- a/src/main/java/org/springmill/control/coordination/Machine.java
+++ b/src/main/java/org/springmill/control/coordination/Machine.java
@@ -58,6 +58,7 @@
     private boolean commandsFailing;
     private double avoidUntil = Double.NEGATIVE_INFINITY;
     private List<TaskReport> reported = List.of();
+    private boolean allReportedKnown = true;
     private boolean quarantined;
     private boolean draining;
     private final Set<Job> keptFor = new HashSet<>();
@@ -220,6 +221,7 @@
         }
         lastHeard = now;
         reported = report.tasks();
+        allReportedKnown = false;
         noticeAt = report.noticeS() == null ? Double.POSITIVE_INFINITY : now + report.noticeS();
     }
 
@@ -227,6 +229,19 @@
         return reported;
     }
 
+    /**
+     * Whether every reported task was found to have an attempt, and neither has changed since.
+     * Looking again would find nothing new.
+     */
+    boolean allReportedKnown() {
+        return allReportedKnown;
+    }
+
+    /** Notes that every reported task has an attempt here. */
+    void noteAllReportedKnown() {
+        allReportedKnown = true;
+    }
+
     /**
      * @param leaseS after a longer silence its worker begins anew with this leader
      */
@@ -327,12 +342,14 @@
     }
 
     void add(Attempt attempt) {
+        allReportedKnown = false;
         attempts.put(attempt.claim().task(), attempt);
         charge(attempt.job().spec(), 1);
     }
 
     void remove(Attempt attempt, double now) {
         if (attempts.remove(attempt.claim().task(), attempt)) {
+            allReportedKnown = false;
             charge(attempt.job().spec(), -1);
             String image = attempt.job().spec().image();
             if (attempt.runningSince() == 0
@@ -391,6 +408,14 @@
                 && hearsThisTerm();
     }
 
+    /**
+     * Whether it reports in its first session and has not yet heard any leader: it will take work
+     * in a moment. One that hears nobody begins its next session within a lease.
+     */
+    boolean hasJustComeUp() {
+        return state == State.UP && session <= 1 && seenToken == 0 && !commandsFailing();
+    }
+
     /** Whether its worker has shown a token of this term. */
     boolean hearsThisTerm() {
         return termOf(seenToken) == termOf(token);
--- a/src/main/java/org/springmill/control/coordination/RentalPlanner.java
+++ b/src/main/java/org/springmill/control/coordination/RentalPlanner.java
@@ -123,7 +123,8 @@
         }
         return switch (machine.state()) {
             case EXPECTED -> !partitions.contains(machine.zone());
-            case UP -> machine.takesWork(now, timing.leaseS());
+            // Of a fleet that comes up at once, many have reported and not heard the leader yet.
+            case UP -> machine.takesWork(now, timing.leaseS()) || machine.hasJustComeUp();
             case LOST, RETURNING, GONE -> false;
         };
     }
--- a/src/main/java/org/springmill/control/coordination/SubmissionHandler.java
+++ b/src/main/java/org/springmill/control/coordination/SubmissionHandler.java
@@ -195,6 +195,25 @@
     }
 
     private void accept(Pending submitted) {
+        if (admission.nearBound(submitted.job().submission())) {
+            // What other controllers have accepted meanwhile may have used up what is left.
+            directory.barrier(current -> acceptNearBound(submitted, current));
+        } else {
+            admit(submitted);
+        }
+    }
+
+    private void acceptNearBound(Pending submitted, boolean current) {
+        if (!current) {
+            JobAnswers.unavailable(submitted.call(), JobAnswers.STATE_SERVICE_SILENT);
+        } else if (unknown(submitted)) {
+            admit(submitted);
+        } else {
+            answerKnown(submitted.call(), submitted.job().id());
+        }
+    }
+
+    private void admit(Pending submitted) {
         Submission submission = submitted.job().submission();
         Optional<AdmissionRefusal> refusal = admission.refusal(submission, expectedWaitSeconds());
         if (refusal.isPresent()) {
--- a/src/main/java/org/springmill/control/storage/RoundLog.java
+++ b/src/main/java/org/springmill/control/storage/RoundLog.java
@@ -29,10 +29,13 @@
  */
 public final class RoundLog {
     /**
-     * A round has at most so many claims, and so many ends, so that a controller with little
-     * processor time keeps up.
+     * A round of a controller with half a core or less has at most so many claims and ends, so that
+     * it keeps up. With more of a core it has more: where the state service is far away, rounds a
+     * second are few.
      */
-    private static final int MAX_ITEMS_PER_ROUND = 96;
+    private static final int MIN_ITEMS_PER_ROUND = 96;
+
+    private static final double ITEMS_PER_ROUND_AND_CORE = 192;
 
     /** Well below the 64 KiB of a transaction, of which conditions and deletions need some. */
     private static final int MAX_COMMIT_BYTES = 48 * 1024;
@@ -43,6 +46,7 @@
     private final StateStore store;
     private final RoundIndex index = new RoundIndex();
     private final RoundWriter writer;
+    private final int maxItemsPerRound;
 
     /** The end of a claim; done, or else proven gone. */
     public record End(Claim claim, boolean done) {}
@@ -58,10 +62,17 @@
     /**
      * @param leadership the condition that holds as long as this controller leads
      * @param jobActive whether a job has not ended, so that its completed tasks are still needed
+     * @param cpuShare what this controller may use of one core
      */
     public RoundLog(
-            StateStore store, Loop loop, Condition leadership, Predicate<String> jobActive) {
+            StateStore store,
+            Loop loop,
+            Condition leadership,
+            Predicate<String> jobActive,
+            double cpuShare) {
         this.store = store;
+        int byProcessor = (int) (ITEMS_PER_ROUND_AND_CORE * cpuShare);
+        maxItemsPerRound = Math.max(MIN_ITEMS_PER_ROUND, byProcessor);
         RoundCompactor compactor = new RoundCompactor(store, index, jobActive);
         writer = new RoundWriter(store, loop, leadership, index, compactor);
     }
@@ -82,8 +93,8 @@
         return itemsIn(bytesLeft, StoredRound.ESTIMATED_CLAIM_BYTES);
     }
 
-    private static int itemsIn(int bytes, int itemBytes) {
-        return Math.max(1, Math.min(MAX_ITEMS_PER_ROUND, bytes / itemBytes));
+    private int itemsIn(int bytes, int itemBytes) {
+        return Math.max(1, Math.min(maxItemsPerRound, bytes / itemBytes));
     }
 
     private int roundBytes() {
--- a/src/main/java/org/springmill/emulator/HollowUsers.java
+++ b/src/main/java/org/springmill/emulator/HollowUsers.java
@@ -75,7 +75,7 @@
             measurements.message(
                     Message.SUBMISSION, Json.bytes(spec.toJson()).length, reply.body().length);
             if (reply.status() != 200 && reply.status() != 201) {
-                loop.after(RETRY_SECONDS, this::submit);
+                loop.after(Math.max(RETRY_SECONDS, reply.retryAfterS()), this::submit);
                 return;
             }
             accepted = true;
--- a/src/main/java/org/springmill/protocol/TaskId.java
+++ b/src/main/java/org/springmill/protocol/TaskId.java
@@ -20,6 +20,19 @@
         }
     }
 
+    // The generated methods of a record go through method handles, which a leader of a large fleet,
+    // looking up every task of every report, was seen to spend much of its time in.
+
+    @Override
+    public boolean equals(Object other) {
+        return other instanceof TaskId that && index == that.index && job.equals(that.job);
+    }
+
+    @Override
+    public int hashCode() {
+        return 31 * job.hashCode() + index;
+    }
+
     @Override
     public String toString() {
         return job + '/' + index;
--- a/src/main/java/org/springmill/transport/Transport.java
+++ b/src/main/java/org/springmill/transport/Transport.java
@@ -21,6 +21,9 @@
     /** Commands to workers go over kept connections as far as these reach. */
     private static final double CLIENT_SHARE = 0.3;
 
+    /** Of the sockets that neither share takes, what goes to one preferred address. */
+    private static final double PREFERRED_ADDRESS_SHARE = 0.03;
+
     private final XnioWorker worker;
     private final XnioIoThread thread;
     private final ByteBufferPool buffers = new DefaultByteBufferPool(true, BUFFER_BYTES, 256, 4);
@@ -52,7 +55,8 @@
                         buffers,
                         loop,
                         Math.max(8, (int) (maxSockets * CLIENT_SHARE)),
-                        preferred);
+                        preferred,
+                        (int) (maxSockets * PREFERRED_ADDRESS_SHARE));
     }
 
     /** The loop on which all callbacks run. */
@@ -67,7 +71,7 @@
 
     /** Another client with connections of its own, as another host would have. */
     public HttpClient newClient(int maxSockets) {
-        return new UndertowClients(thread, buffers, loop, maxSockets, Set.of());
+        return new UndertowClients(thread, buffers, loop, maxSockets, Set.of(), 0);
     }
 
     /** Serves HTTP on an address ("ip:port") and returns the port that was bound. */
--- a/src/main/java/org/springmill/transport/UndertowClients.java
+++ b/src/main/java/org/springmill/transport/UndertowClients.java
@@ -39,7 +39,8 @@
 final class UndertowClients implements HttpClient {
     private static final Logger LOG = LoggerFactory.getLogger(UndertowClients.class);
 
-    private static final int MAX_PER_ADDRESS = 8;
+    /** Connections to one worker, and the fewest to a preferred address. */
+    private static final int MIN_PER_ADDRESS = 8;
 
     /** While a connection attempt hangs, no other is begun to that address for this long. */
     private static final double CONNECT_AGAIN_S = 5.0;
@@ -55,6 +56,7 @@
     private final Loop loop;
     private final int limit;
     private final Set<String> preferred;
+    private final int perPreferredAddress;
     private final Map<String, Pool> pools = new HashMap<>();
 
     /** Idle connections that may be given up, the one unused for longest first. */
@@ -68,14 +70,18 @@
     /**
      * @param limit connections that may be open at once, but for those to preferred addresses
      * @param preferred addresses that are few and always served
+     * @param perPreferredAddress connections to each of them. Each carries one request at a time,
+     *     so they bound what a service that is far away can be asked in a second.
      */
     UndertowClients(
             XnioIoThread thread,
             ByteBufferPool buffers,
             Loop loop,
             int limit,
-            Set<String> preferred) {
+            Set<String> preferred,
+            int perPreferredAddress) {
         this.limit = limit;
+        this.perPreferredAddress = Math.max(MIN_PER_ADDRESS, perPreferredAddress);
         this.preferred = preferred;
         this.thread = thread;
         this.buffers = buffers;
@@ -117,6 +123,7 @@
     private final class Pool {
         private final String address;
         private final boolean counted;
+        private final int mostOpen;
         private final URI uri;
         private final ArrayDeque<ClientConnection> idle = new ArrayDeque<>();
         private final ArrayDeque<Job> waiting = new ArrayDeque<>();
@@ -127,6 +134,7 @@
         Pool(String address) {
             this.address = address;
             this.counted = !preferred.contains(address);
+            this.mostOpen = counted ? MIN_PER_ADDRESS : perPreferredAddress;
             this.uri = URI.create("http://" + address);
         }
 
@@ -148,7 +156,7 @@
             }
             boolean stuck = connecting > 0 && loop.now() - lastConnect > CONNECT_AGAIN_S;
             if (waiting.size() > connecting
-                    && open + connecting < MAX_PER_ADDRESS
+                    && open + connecting < mostOpen
                     && (connecting < 2 || stuck)) {
                 if (!counted || roomForOneMore()) {
                     connect();
--- a/src/main/java/org/springmill/transport/UndertowServer.java
+++ b/src/main/java/org/springmill/transport/UndertowServer.java
@@ -36,6 +36,9 @@
 
     private static final int IDLE_MS = 30_000;
 
+    /** Connections that may wait to be accepted; the operating system may keep fewer. */
+    private static final int MIN_BACKLOG = 256;
+
     private UndertowServer() {}
 
     static int start(
@@ -71,6 +74,8 @@
                                     }
                                     handler.handle(call);
                                 }));
+        // At a takeover all workers come within a second.
+        int backlog = Math.max(MIN_BACKLOG, most / 4);
         ChannelListener<AcceptingChannel<StreamConnection>> acceptor =
                 ChannelListeners.openListenerAdapter(
                         connection -> {
@@ -84,7 +89,7 @@
                         OptionMap.builder()
                                 .set(Options.TCP_NODELAY, true)
                                 .set(Options.REUSE_ADDRESSES, true)
-                                .set(Options.BACKLOG, 256)
+                                .set(Options.BACKLOG, backlog)
                                 .set(Options.CONNECTION_HIGH_WATER, most)
                                 .set(Options.CONNECTION_LOW_WATER, most - 4)
                                 .getMap());
--- /dev/null
+++ b/src/test/java/org/springmill/control/admission/AdmissionFixture.java
@@ -0,0 +1,39 @@
+package org.springmill.control.admission;
+
+import java.util.List;
+import org.springmill.protocol.Priority;
+import org.springmill.protocol.Shape;
+import org.springmill.protocol.Submission;
+
+/** Submissions for the tests of this package. */
+final class AdmissionFixture {
+    private static int numbers;
+
+    private AdmissionFixture() {}
+
+    /** A batch of tasks with one CPU each, under an id of its own. */
+    static Submission job(String team, Priority priority, int tasks, double gpus) {
+        return new Submission(
+                "run-" + ++numbers,
+                "sweep",
+                team,
+                Shape.ARRAY,
+                priority,
+                tasks,
+                1,
+                gpus,
+                1,
+                "img",
+                0.1,
+                null,
+                null,
+                false,
+                false,
+                false,
+                10,
+                0,
+                0,
+                null,
+                List.of());
+    }
+}
--- /dev/null
+++ b/src/test/java/org/springmill/control/admission/QueueWaitsTest.java
@@ -0,0 +1,104 @@
+package org.springmill.control.admission;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.util.List;
+import java.util.stream.IntStream;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
+import org.springmill.protocol.PeerMessages.Congested;
+import org.springmill.protocol.PeerMessages.CongestedQueue;
+import org.springmill.protocol.Priority;
+
+/** How long work is expected to wait, from what waits and what has started. */
+class QueueWaitsTest {
+    private static final double MAX_WAIT_SECONDS = 400;
+    private static final double WINDOW_SECONDS = MAX_WAIT_SECONDS * QueueWaits.WINDOW_SHARE;
+    private static final double TOLERANCE_SECONDS = 1e-6;
+
+    private final QueueWaits waits = new QueueWaits(MAX_WAIT_SECONDS);
+    private double now = 1000;
+
+    /** Lets a whole window pass, second by second. */
+    private List<CongestedQueue> afterWindow(int waitingTasks, int startsPerSecond) {
+        List<CongestedQueue> congested = List.of();
+        for (int second = 0; second <= WINDOW_SECONDS; second++) {
+            now++;
+            if (startsPerSecond > 0) {
+                waits.started("red", Priority.NORMAL, startsPerSecond, now);
+            }
+            congested = count(waitingTasks);
+        }
+        return congested;
+    }
+
+    private List<CongestedQueue> count(int waitingTasks) {
+        waits.beginCount();
+        if (waitingTasks > 0) {
+            waits.waits("red", Priority.NORMAL, waitingTasks);
+        }
+        return waits.endCount(now);
+    }
+
+    @ParameterizedTest
+    @CsvSource({"760, 2, false", "840, 2, true", "4, 0, false", "5, 0, true", "0, 0, false"})
+    void aQueueIsCongestedWhenItsTasksTakeLongerThanTheLongestWait(
+            int waitingTasks, int startsPerSecond, boolean congested) {
+        assertEquals(congested, !afterWindow(waitingTasks, startsPerSecond).isEmpty());
+    }
+
+    @Test
+    void theExcessIsTheExpectedWaitBeyondTheLongest() {
+        List<CongestedQueue> congested = afterWindow(1000, 2);
+        CongestedQueue worst = congested.get(0);
+        assertEquals(1000 / 2.0 - MAX_WAIT_SECONDS, worst.excessSeconds(), 15);
+    }
+
+    /** Nothing is known of how fast a queue drains that work has only just begun to wait in. */
+    @Test
+    void noQueueIsCongestedBeforeWorkHasWaitedInItForAWindow() {
+        for (int second = 0; second < WINDOW_SECONDS; second++) {
+            now++;
+            assertEquals(List.of(), count(100_000));
+        }
+        now++;
+        assertFalse(count(100_000).isEmpty());
+    }
+
+    /** What waits behind does not count for what is ahead. */
+    @Test
+    void lowerWorkDoesNotCongestTheQueuesOfHigherWork() {
+        List<CongestedQueue> congested = afterWindow(100_000, 1);
+        assertTrue(congested.stream().noneMatch(queue -> queue.priority() == Priority.HIGH));
+        assertTrue(congested.stream().anyMatch(queue -> queue.priority() == Priority.LOW));
+    }
+
+    @Test
+    void anotherTeamsBacklogCongestsTheQueueOfAllButNotTheTeams() {
+        List<CongestedQueue> congested = afterWindow(100_000, 1);
+        assertTrue(congested.stream().noneMatch(queue -> queue.team().equals("blue")));
+        assertTrue(congested.stream().anyMatch(q -> q.team().equals(CongestedQueue.ALL_TEAMS)));
+    }
+
+    /** A record between controllers holds so many; those that wait longest are told. */
+    @Test
+    void theWorstQueuesAreToldWhenThereAreTooMany() {
+        int teams = Congested.MOST;
+        for (int second = 0; second <= WINDOW_SECONDS; second++) {
+            now++;
+            waits.beginCount();
+            IntStream.range(0, teams)
+                    .forEach(i -> waits.waits("team-" + i, Priority.NORMAL, 1000 + i));
+            waits.endCount(now);
+        }
+        List<CongestedQueue> congested = waits.endCount(now);
+        assertEquals(Congested.MOST, congested.size());
+        for (int i = 1; i < congested.size(); i++) {
+            double before = congested.get(i - 1).excessSeconds();
+            assertTrue(before + TOLERANCE_SECONDS >= congested.get(i).excessSeconds());
+        }
+    }
+}
--- /dev/null
+++ b/src/test/java/org/springmill/control/coordination/AdmissionTest.java
@@ -0,0 +1,331 @@
+package org.springmill.control.coordination;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertNotEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import java.nio.charset.StandardCharsets;
+import java.util.ArrayList;
+import java.util.List;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
+import org.springmill.sim.RetryingUsers;
+import org.springmill.sim.SimNetwork.Fate;
+import org.springmill.sim.SimOptions;
+import org.springmill.sim.SimulatedCluster;
+import org.springmill.transport.HttpClient.Reply;
+
+/**
+ * Three controllers that hold acceptance back: at the bound of their memory, with queues that wait
+ * too long, and while the state service takes less than users ask for.
+ */
+class AdmissionTest extends ClusterFixture {
+    /**
+     * Heap for some so many live jobs of low priority; a job needs 1,600 bytes, half is for jobs.
+     */
+    private static final int LOW_JOBS = 100;
+
+    private static final double SMALL_HEAP = LOW_JOBS / 0.7 * 1600 / 0.5;
+
+    /** The state service takes so many changes a second from all controllers. */
+    private static final double CHANGES_PER_SECOND = 20;
+
+    /** Records that were checked against the bound and not yet known to the other controllers. */
+    private static final double UNDER_WAY_SECONDS = 3.5;
+
+    private static final int OVERSHOOT = (int) (CHANGES_PER_SECOND * UNDER_WAY_SECONDS);
+
+    private int numbers = 100_000;
+
+    private void startSmall(SimOptions options) {
+        startCluster(new SimulatedCluster(options.withHeapBytes(SMALL_HEAP)));
+    }
+
+    private ObjectNode job(String team, String priority, double gpus) {
+        String id = "run-" + ++numbers;
+        ObjectNode job = SimulatedCluster.job(id, team, "sweep", 1, 1, gpus);
+        job.put("urgency", priority);
+        return job;
+    }
+
+    private Reply submit(int controller, ObjectNode job) {
+        cluster.setRunSeconds(job.path("nameId").asText(), FOREVER);
+        return cluster.ask(controller, "POST", "/submissions", job.toString());
+    }
+
+    /** Fills what low priority may need, with two teams since one may not have all of it. */
+    private List<ObjectNode> fill() {
+        List<ObjectNode> accepted = new ArrayList<>();
+        for (int i = 0; i < 4 * LOW_JOBS && !refusedLately(accepted, i); i++) {
+            ObjectNode job = job(i % 2 == 0 ? "red" : "blue", "best_effort", 1);
+            if (submit(i % CONTROLLERS, job).status() == 201) {
+                accepted.add(job);
+            }
+        }
+        return accepted;
+    }
+
+    private static boolean refusedLately(List<ObjectNode> accepted, int submitted) {
+        return submitted - accepted.size() > 20;
+    }
+
+    private double metric(int controller, String name) {
+        cluster.run(1.1);
+        String text =
+                new String(
+                        cluster.ask(controller, "GET", "/metrics", "").body(),
+                        StandardCharsets.UTF_8);
+        return text.lines()
+                .filter(line -> line.startsWith("springmill_" + name + " "))
+                .mapToDouble(line -> Double.parseDouble(line.substring(line.indexOf(' ') + 1)))
+                .sum();
+    }
+
+    /** Users are told at once, and when to come back; whoever is refused leaves nothing behind. */
+    @Test
+    void beyondTheBoundSubmissionsAreRefusedAtOnceWithWhenToComeBack() {
+        startSmall(SimOptions.DEFAULTS);
+        List<ObjectNode> accepted = fill();
+        assertTrue(accepted.size() >= LOW_JOBS * 0.9, accepted.size() + " accepted");
+        assertTrue(accepted.size() <= LOW_JOBS, accepted.size() + " accepted one after another");
+        ObjectNode refused = job("blue", "best_effort", 1);
+        double before = cluster.clock().now();
+        Reply answer = submit(follower(), refused);
+        assertEquals(503, answer.status());
+        assertTrue(answer.retryAfterS() >= 1 && answer.retryAfterS() <= 30);
+        assertTrue(cluster.clock().now() - before < 0.5, "at once");
+        assertEquals(404, cluster.ask(0, "GET", "/submissions/" + idOf(refused), "").status());
+        assertTrue(metric(follower(), "submissions_refused_memory_total") > 0);
+    }
+
+    private static String idOf(ObjectNode job) {
+        return job.path("nameId").asText();
+    }
+
+    /** What each admits before it has read of the others' is all that can go beyond the bound. */
+    @Test
+    void controllersThatAdmitAtTheBoundInTheSameMomentOvershootByWhatIsUnderWay() {
+        startSmall(SimOptions.DEFAULTS);
+        int[] accepted = new int[1];
+        for (int i = 0; i < 6 * LOW_JOBS; i++) {
+            ObjectNode job = job(i % 2 == 0 ? "red" : "blue", "best_effort", 1);
+            cluster.setRunSeconds(idOf(job), FOREVER);
+            cluster.clock()
+                    .after(
+                            i / 20.0,
+                            () ->
+                                    cluster.user(
+                                            idOf(job).charAt(idOf(job).length() - 1) % CONTROLLERS,
+                                            "POST",
+                                            "/submissions",
+                                            job.toString(),
+                                            5,
+                                            reply -> accepted[0] += reply.status() == 201 ? 1 : 0));
+        }
+        cluster.run(40);
+        assertTrue(accepted[0] >= LOW_JOBS * 0.9, accepted[0] + " accepted");
+        assertTrue(accepted[0] <= LOW_JOBS + OVERSHOOT, accepted[0] + " accepted");
+    }
+
+    /** A controller that reads nothing of the others may not take what they have taken. */
+    @Test
+    void aControllerThatCannotReadWhatOthersAcceptedRefusesNearTheBound() {
+        startSmall(SimOptions.DEFAULTS);
+        int stale = follower();
+        String staleName = "n-" + stale;
+        cluster.network()
+                .judge(
+                        (from, request) ->
+                                from.equals(staleName) && request.path().startsWith("/changes")
+                                        ? Fate.DROP
+                                        : Fate.DELIVER);
+        int accepted = 0;
+        for (int i = 0; i < 3 * LOW_JOBS; i++) {
+            ObjectNode job = job(i % 2 == 0 ? "red" : "blue", "best_effort", 1);
+            accepted += submit((stale + 1 + i % 2) % CONTROLLERS, job).status() == 201 ? 1 : 0;
+            accepted += submit(stale, job("red", "best_effort", 1)).status() == 201 ? 1 : 0;
+            if (i > LOW_JOBS) {
+                cluster.run(0.05);
+            }
+        }
+        // It accepts by its own account, and no more once that is close to the bound.
+        assertTrue(accepted <= 2 * LOW_JOBS, accepted + " accepted");
+        deliverAllMessages();
+        cluster.run(20);
+        assertEquals(503, submit(stale, job("blue", "best_effort", 1)).status());
+    }
+
+    @Test
+    void aRepeatedSubmissionIsNeverRefused() {
+        startSmall(SimOptions.DEFAULTS);
+        List<ObjectNode> accepted = fill();
+        for (int i = 0; i < CONTROLLERS; i++) {
+            assertEquals(200, submit(i, accepted.get(i)).status());
+        }
+    }
+
+    /** Its user sends it again, at another controller, which has not read of it. */
+    @Test
+    void aSubmissionWhoseAnswerWasLostAtTheBoundIsKnownAgainAndCountsOnce() {
+        startSmall(SimOptions.DEFAULTS);
+        List<ObjectNode> accepted = fill();
+        cluster.withdraw(0, idOf(accepted.get(0)));
+        cluster.run(1);
+        ObjectNode last = job("red", "best_effort", 1);
+        cluster.network()
+                .judge(
+                        (from, request) ->
+                                request.path().equals("/commit")
+                                                && new String(
+                                                                request.body(),
+                                                                StandardCharsets.UTF_8)
+                                                        .contains(idOf(last))
+                                        ? Fate.LOSE_ANSWER
+                                        : Fate.DELIVER);
+        cluster.user(0, "POST", "/submissions", last.toString(), 5, reply -> {});
+        cluster.run(0.1);
+        deliverAllMessages();
+        assertEquals(200, submit(1, last).status());
+        assertEquals(accepted.size(), metric(1, "live_jobs"));
+        assertEquals(accepted.size(), metric(0, "live_jobs"));
+    }
+
+    /** Whoever fills the bound with low work, others are not held back by it. */
+    @Test
+    void urgentWorkAndGuaranteedWorkAreTakenWhereLowWorkIsRefused() {
+        startSmall(SimOptions.DEFAULTS);
+        fill();
+        assertEquals(503, submit(0, job("blue", "best_effort", 1)).status());
+        assertEquals(201, submit(0, job("blue", "urgent", 1)).status());
+        assertEquals(201, submit(1, job("blue", "prod", 1)).status());
+    }
+
+    /** Red has eight GPUs guaranteed and holds nothing; blue alone has filled what it may. */
+    @Test
+    void aFloodOfOneTeamLeavesRoomForOthersAndForGuarantees() {
+        startSmall(SimOptions.DEFAULTS);
+        int flooded = 0;
+        for (int i = 0; i < 3 * LOW_JOBS; i++) {
+            flooded += submit(i % CONTROLLERS, job("blue", "prod", 1)).status() == 201 ? 1 : 0;
+        }
+        assertTrue(flooded <= LOW_JOBS / 0.7 * 0.95 / 2 + 8, flooded + " of one team");
+        assertEquals(503, submit(0, job("blue", "prod", 1)).status());
+        for (int i = 0; i < 8; i++) {
+            assertEquals(201, submit(i % CONTROLLERS, job("red", "best_effort", 1)).status());
+        }
+    }
+
+    /** Controllers that were started again with less memory hold more than they may. */
+    @Test
+    void nothingIsDroppedWhenALeaderRebuildsAboveTheBound() {
+        startSmall(SimOptions.DEFAULTS);
+        List<ObjectNode> accepted = fill();
+        cluster.heapBytes(SMALL_HEAP / 4);
+        for (int i = 0; i < CONTROLLERS; i++) {
+            cluster.restart(i);
+            cluster.run(10);
+        }
+        assertNotEquals(-1, cluster.leader());
+        for (ObjectNode job : accepted) {
+            Reply answer = cluster.ask(0, "GET", "/submissions/" + idOf(job), "");
+            assertEquals(200, answer.status(), idOf(job));
+        }
+        assertEquals(503, submit(0, job("blue", "best_effort", 1)).status());
+        assertEquals(200, submit(1, accepted.get(0)).status());
+        for (ObjectNode job : accepted) {
+            assertEquals("cancelled", cluster.withdraw(2, idOf(job)));
+        }
+        cluster.run(5);
+        assertEquals(201, submit(0, job("blue", "best_effort", 1)).status());
+    }
+
+    /** Nothing waits for a person: once there is room, whoever comes back is served. */
+    @ParameterizedTest
+    @ValueSource(ints = {1, 2, 3})
+    void afterABurstOfThreeTimesTheDrainRateGoodputIsBackAtOnce(int seed) {
+        startCluster(seed);
+        RetryingUsers users = new RetryingUsers(cluster, seed);
+        double burstSeconds = 20;
+        double burstStart = cluster.clock().now();
+        int burst = (int) (3 * CHANGES_PER_SECOND * burstSeconds);
+        for (int i = 0; i < burst; i++) {
+            ObjectNode job = job(i % 2 == 0 ? "red" : "blue", "normal", 0);
+            cluster.clock().after(i * burstSeconds / burst, () -> users.submit(job, FOREVER));
+        }
+        cluster.run(burstSeconds);
+        int duringBurst = users.accepted();
+        assertTrue(
+                duringBurst >= 0.5 * CHANGES_PER_SECOND * burstSeconds,
+                duringBurst + " accepted during the burst");
+        cluster.run(70);
+        assertEquals(burst, users.accepted() + users.gaveUp());
+        // Goodput stays: what is refused costs the state service nothing.
+        double drainSeconds = cluster.clock().now() - burstStart;
+        assertTrue(
+                users.accepted() >= 0.5 * CHANGES_PER_SECOND * Math.min(drainSeconds, 80),
+                users.accepted() + " accepted in all");
+        users.submit(job("red", "normal", 0), FOREVER);
+        cluster.run(5);
+        assertTrue(users.lastAcceptanceSeconds() < 1, users.lastAcceptanceSeconds() + " s");
+    }
+
+    /** Out for half a minute, then everybody comes back: refusals are spread, nobody is lost. */
+    @Test
+    void afterAnOutageOfTheStateServiceTheWaveOfRetriesIsServed() {
+        startCluster(1);
+        RetryingUsers users = new RetryingUsers(cluster, 1);
+        cluster.state().setDown(true);
+        int waiting = 200;
+        for (int i = 0; i < waiting; i++) {
+            ObjectNode job = job(i % 2 == 0 ? "red" : "blue", "normal", 0);
+            cluster.clock().after(i * 30.0 / waiting, () -> users.submit(job, FOREVER));
+        }
+        cluster.run(30);
+        cluster.state().setDown(false);
+        cluster.run(25);
+        assertEquals(waiting, users.accepted(), "within 25 s of the end of the outage");
+        assertEquals(0, users.gaveUp());
+    }
+
+    /** A slow state service: what cannot be committed while its user waits is refused at once. */
+    @Test
+    void whileTheStateServiceIsSlowSubmissionsAreRefusedRatherThanHeld() {
+        startCluster(1);
+        cluster.network()
+                .delayRequests((from, request) -> request.path().equals("/commit") ? 0.8 : 0);
+        RetryingUsers users = new RetryingUsers(cluster, 1);
+        for (int i = 0; i < 600; i++) {
+            ObjectNode job = job(i % 2 == 0 ? "red" : "blue", "normal", 0);
+            cluster.clock().after(i / 60.0, () -> users.submit(job, FOREVER));
+        }
+        cluster.run(80);
+        assertEquals(0, users.answers(0), "every user has an answer within five seconds");
+        assertTrue(users.accepted() > 300, users.accepted() + " accepted");
+    }
+
+    /**
+     * A batch that would wait for longer than operators want is refused, until the queue drains.
+     */
+    @Test
+    void workIsRefusedWhileItsQueueWaitsTooLongAndTakenOnceItDrains() {
+        startCluster(new SimulatedCluster(SimOptions.DEFAULTS.withMaxWait(60)));
+        ObjectNode large = SimulatedCluster.job("run-000050", "blue", "sweep", 2000, 1, 1);
+        cluster.setRunSeconds("run-000050", 30);
+        assertEquals(201, cluster.submit(follower(), large, 30));
+        cluster.run(60);
+        for (int i = 0; i < CONTROLLERS; i++) {
+            assertEquals(503, submit(i, job("blue", "normal", 1)).status(), "at " + i);
+        }
+        assertEquals(201, submit(0, job("blue", "prod", 1)).status(), "above that queue");
+        assertEquals(201, submit(1, job("red", "best_effort", 1)).status(), "guaranteed");
+        assertTrue(metric(cluster.leader(), "congested_queues") > 0);
+        cluster.kill(cluster.leader());
+        cluster.run(10);
+        assertEquals(200, submit(cluster.leader(), large).status(), "known to the next leader");
+        assertEquals("cancelled", cluster.withdraw(cluster.leader(), "run-000050"));
+        cluster.run(12);
+        assertEquals(201, submit(cluster.leader(), job("blue", "normal", 1)).status());
+    }
+}
--- a/src/test/java/org/springmill/control/storage/RecordGenerationsTest.java
+++ b/src/test/java/org/springmill/control/storage/RecordGenerationsTest.java
@@ -157,7 +157,7 @@
                         STILL,
                         SETTINGS,
                         1);
-        return new RoundLog(store, STILL, new Condition("leader", 5), job -> true);
+        return new RoundLog(store, STILL, new Condition("leader", 5), job -> true, 0.2);
     }
 
     private static Reply answer(String body) {
--- a/src/test/java/org/springmill/control/storage/RoundRecordBytesTest.java
+++ b/src/test/java/org/springmill/control/storage/RoundRecordBytesTest.java
@@ -60,7 +60,7 @@
                     }
                 };
         StateStore store = new StateStore(stateService, clock, settings, 1);
-        return new RoundLog(store, clock, LEADERSHIP, job -> !job.equals("run-000009"));
+        return new RoundLog(store, clock, LEADERSHIP, job -> !job.equals("run-000009"), 0.2);
     }
 
     private Reply answer(Request request) {
--- a/src/test/java/org/springmill/sim/SimCloud.java
+++ b/src/test/java/org/springmill/sim/SimCloud.java
@@ -9,6 +9,8 @@
 import java.util.LinkedHashMap;
 import java.util.Map;
 import java.util.Set;
+import java.util.regex.Matcher;
+import java.util.regex.Pattern;
 import org.springmill.transport.HttpClient.Reply;
 import org.springmill.transport.HttpClient.Request;
 
@@ -29,6 +31,7 @@
 
     private final SimulatedCluster cluster;
     private final Map<String, SimWorker> machines = new LinkedHashMap<>();
+    private final Map<String, SimWorker> machinesByAddress = new HashMap<>();
     private final Map<String, ArrayNode> rentals = new HashMap<>();
     private int named;
     private final Set<String> emptyZones = new HashSet<>();
@@ -45,6 +48,11 @@
         emptyZones.addAll(SimSettings.ZONES);
     }
 
+    /** From now on no machine can be rented in one zone. */
+    public void runOut(String zone) {
+        emptyZones.add(zone);
+    }
+
     /** Machines can be rented again. */
     public void refill() {
         emptyZones.clear();
@@ -62,8 +70,20 @@
 
     /** A machine stops and is gone, as a spot machine is that was taken without notice. */
     public void take(SimWorker machine) {
-        machines.remove(machine.name());
-        machine.destroy();
+        remove(machine.name());
+    }
+
+    private void remove(String name) {
+        SimWorker gone = machines.remove(name);
+        if (gone != null) {
+            machinesByAddress.remove(gone.address());
+            gone.destroy();
+        }
+    }
+
+    /** The machine that has an address; null if there is none any more. */
+    SimWorker machineAt(String address) {
+        return machinesByAddress.get(address);
     }
 
     public Map<String, SimWorker> machines() {
@@ -75,6 +95,7 @@
         SimWorker worker =
                 new SimWorker(cluster, name, "10.1.0." + named + ":9000", type, zone, spot);
         machines.put(name, worker);
+        machinesByAddress.put(worker.address(), worker);
         cluster.clock().after(bootSeconds, worker::boot);
         return worker;
     }
@@ -93,14 +114,34 @@
         }
         if (request.path().equals("/rentals/delete")) {
             for (JsonNode name : body.path("stones")) {
-                SimWorker gone = machines.remove(name.asText());
-                if (gone != null) {
-                    gone.destroy();
-                }
+                remove(name.asText());
             }
             return SimState.reply(200, out);
         }
-        return SimState.reply(200, lateList == null ? list() : lateList);
+        return SimState.reply(200, page(lateList == null ? list() : lateList, request.path()));
+    }
+
+    /** The part of a list that a request asks for, by its {@code from} and {@code limit}. */
+    private static ObjectNode page(ObjectNode list, String path) {
+        String from = parameter(path, "from", "");
+        int limit = Integer.parseInt(parameter(path, "limit", "500"));
+        ObjectNode out = JSON.createObjectNode();
+        ArrayNode stones = out.putArray("stones");
+        for (JsonNode machine : list.path("stones")) {
+            boolean after = machine.path("nameId").asText().compareTo(from) > 0;
+            if (after && stones.size() == limit) {
+                return out.put("truncated", true);
+            }
+            if (after) {
+                stones.add(machine);
+            }
+        }
+        return out.put("truncated", false);
+    }
+
+    private static String parameter(String path, String name, String otherwise) {
+        Matcher matcher = Pattern.compile("[?&]" + name + "=([^&]*)").matcher(path);
+        return matcher.find() ? matcher.group(1) : otherwise;
     }
 
     private ObjectNode list() {
@@ -116,7 +157,7 @@
                                 .put("loaner", m.spot())
                                 .put("phase", m.up() ? "running" : "starting")
                                 .put("heldS", 1.0));
-        return out.put("truncated", false);
+        return out;
     }
 
     private Reply rent(JsonNode body) {
--- a/src/test/java/org/springmill/sim/SimulatedCluster.java
+++ b/src/test/java/org/springmill/sim/SimulatedCluster.java
@@ -84,6 +84,11 @@
         options = options.withHistoryRetention(seconds);
     }
 
+    /** The largest heap of controllers that are started from now on. */
+    public void heapBytes(double bytes) {
+        options = options.withHeapBytes(bytes);
+    }
+
     /** Limits in the settings of controllers that are started from now on. */
     public void settings(Settings.State limits) {
         options = options.withStateLimits(limits);
@@ -210,10 +215,9 @@
                 controller.handle(request, done);
             }
         } else {
-            for (SimWorker worker : cloud.machines().values()) {
-                if (worker.address().equals(request.address()) && worker.reachable()) {
-                    done.accept(worker.orders(request.body()));
-                }
+            SimWorker worker = cloud.machineAt(request.address());
+            if (worker != null && worker.reachable()) {
+                done.accept(worker.orders(request.body()));
             }
         }
     }
