Emulator: an answer to a question asked before the end was told is no step back

Change: the check compares the moment of the question; two different final states are a violation whenever they were asked for.

--- a/src/main/java/org/springmill/emulator/HollowUsers.java
+++ b/src/main/java/org/springmill/emulator/HollowUsers.java
@@ -104,15 +104,15 @@
             }
             if (reply.ok()) {
                 measurements.latency(Latency.QUESTION, loop.now() - askedAt);
-                told(reply.body());
+                told(reply.body(), askedAt);
             }
             loop.after(scenario.users().pollS(), this::poll);
         }
 
-        private void told(byte[] body) {
+        private void told(byte[] body, double askedAt) {
             try {
                 Phase phase = UserSideMessages.phase(body);
-                rules.told(spec.id(), phase);
+                rules.told(spec.id(), phase, askedAt);
                 if (phase.terminal()) {
                     acceptedAt.remove(spec.id());
                 }
@@ -126,14 +126,15 @@
                 return;
             }
             String path = UserMessages.SUBMISSIONS + "/" + spec.id() + UserMessages.WITHDRAW;
-            send("POST", path, EMPTY, SUBMIT_TIMEOUT_SECONDS, this::withdrawn);
+            double askedAt = loop.now();
+            send("POST", path, EMPTY, SUBMIT_TIMEOUT_SECONDS, reply -> withdrawn(reply, askedAt));
         }
 
-        private void withdrawn(Reply reply) {
+        private void withdrawn(Reply reply, double askedAt) {
             measurements.outcome(Message.WITHDRAWAL, reply.status());
             measurements.message(Message.WITHDRAWAL, 0, reply.body().length);
             if (reply.ok()) {
-                told(reply.body());
+                told(reply.body(), askedAt);
             } else {
                 loop.after(RETRY_SECONDS, this::withdraw);
             }
--- a/src/main/java/org/springmill/emulator/RuleChecker.java
+++ b/src/main/java/org/springmill/emulator/RuleChecker.java
@@ -29,6 +29,7 @@
     private final Map<String, double[]> usage = new HashMap<>();
     private final Map<String, Double> cancelledAt = new HashMap<>();
     private final Map<String, Phase> finalPhases = new HashMap<>();
+    private final Map<String, Double> finalSince = new HashMap<>();
     private final Map<String, Integer> doneTasks = new HashMap<>();
     private final List<String> violations = new ArrayList<>();
     private long violationCount;
@@ -106,14 +107,22 @@
         return limit > 0 && used > limit + TOLERANCE;
     }
 
-    /** A user was told a phase. */
-    void told(String job, Phase phase) {
+    /**
+     * A user was told a phase. Answers may overtake each other, but no question asked after a final
+     * phase was told may be answered with less.
+     *
+     * @param askedAt when the question was sent
+     */
+    void told(String job, Phase phase, double askedAt) {
         Phase before = finalPhases.get(job);
-        if (before != null && before != phase) {
+        boolean askedLater = before != null && askedAt >= finalSince.get(job);
+        boolean differs = before != null && before != phase;
+        if (differs && (phase.terminal() || askedLater)) {
             violated("went_back", job + " from " + before + " to " + phase);
         }
         if (before == null && phase.terminal()) {
             finalPhases.put(job, phase);
+            finalSince.put(job, loop.now());
             if (phase == Phase.CANCELLED) {
                 cancelledAt.put(job, loop.now());
             } else {
