--- a/src/main/java/org/springmill/cli/SettingsOptions.java
+++ b/src/main/java/org/springmill/cli/SettingsOptions.java
@@ -31,8 +31,9 @@
     /** Reads and checks the settings; what looks mistaken is told on standard error. */
     Settings read() throws SettingsException {
         Settings settings = SettingsFile.read(config, operator);
+        double heapMb = Runtime.getRuntime().totalMemory() / BYTES_PER_MB;
         double heapBoundMb = Runtime.getRuntime().maxMemory() / BYTES_PER_MB;
-        for (String warning : SettingsWarnings.of(settings, heapBoundMb)) {
+        for (String warning : SettingsWarnings.of(settings, heapMb, heapBoundMb)) {
             System.err.println("springmill: warning: " + config + ": " + warning);
         }
         return settings;
--- a/src/main/java/org/springmill/control/admission/MemoryBound.java
+++ b/src/main/java/org/springmill/control/admission/MemoryBound.java
@@ -12,7 +12,7 @@
  */
 final class MemoryBound {
     /** Of the heap, what the records and states of jobs may need. The rest is the fleet's. */
-    static final double HEAP_SHARE = 0.5;
+    static final double HEAP_SHARE = 0.4;
 
     /** Of the bound, what all jobs together may need before one of a priority is refused. */
     private static final Map<Priority, Double> SHARE_BY_PRIORITY =
--- a/src/main/java/org/springmill/control/storage/RoundCompactor.java
+++ b/src/main/java/org/springmill/control/storage/RoundCompactor.java
@@ -12,11 +12,15 @@
  * transaction can delete them.
  */
 final class RoundCompactor {
+    /** A new leader reads all values when it takes over: so many come in a few pages. */
+    private static final int FEW_STORED_VALUES = 500;
+
     /**
-     * A new leader reads all values when it takes over: beyond so many, less of what is stored may
-     * be obsolete.
+     * Where more are needed, there may be so many times as many: rounds that follow each other
+     * quickly fill small parts of their values. A fixed bound in its place had every round of a
+     * large fleet carry what was needed anyway.
      */
-    private static final int MANY_STORED_VALUES = 500;
+    private static final double MAX_STORED_TO_NEEDED_VALUES = 2;
 
     /** Below this multiple of a transaction's writes there are too few values to be worth it. */
     private static final int MIN_VALUES_RATIO = 2;
@@ -26,13 +30,7 @@
      * what is carried stays in proportion to what is new. Without this a fleet's worth of
      * long-lived claims was rewritten every few rounds.
      */
-    private static final double MIN_STORED_TO_NEEDED_RATIO = 2;
-
-    /**
-     * The same where there are many values. A fixed bound in its place had every round of a fleet
-     * whose live claims alone need more values than that carry what was needed anyway.
-     */
-    private static final double MIN_RATIO_OF_MANY = 1.5;
+    private static final int MIN_STORED_TO_NEEDED_RATIO = 2;
 
     private final StateStore store;
     private final RoundIndex index;
@@ -77,9 +75,16 @@
         if (index.size() < MIN_VALUES_RATIO * store.limits().writesPerCommit()) {
             return false;
         }
-        boolean many = index.size() >= MANY_STORED_VALUES;
-        double ratio = many ? MIN_RATIO_OF_MANY : MIN_STORED_TO_NEEDED_RATIO;
-        return index.storedBytes() >= ratio * index.neededBytes();
+        if (index.size() >= mostStoredValues()) {
+            return true;
+        }
+        return index.storedBytes() >= MIN_STORED_TO_NEEDED_RATIO * index.neededBytes();
+    }
+
+    private double mostStoredValues() {
+        double valueBytes = store.limits().valueBytes() * RoundCodec.FILL_RATIO;
+        double neededValues = index.neededBytes() / valueBytes;
+        return Math.max(FEW_STORED_VALUES, MAX_STORED_TO_NEEDED_VALUES * neededValues);
     }
 
     /** Returns false if not all that is needed has room. What was carried until then stays. */
--- a/src/test/java/org/springmill/control/coordination/AdmissionTest.java
+++ b/src/test/java/org/springmill/control/coordination/AdmissionTest.java
@@ -23,11 +23,11 @@
  */
 class AdmissionTest extends ClusterFixture {
     /**
-     * Heap for some so many live jobs of low priority; a job needs 1,600 bytes, half is for jobs.
+     * Heap for some so many live jobs of low priority; a job needs 1,600 bytes, 0.4 is for jobs.
      */
     private static final int LOW_JOBS = 100;
 
-    private static final double SMALL_HEAP = LOW_JOBS / 0.7 * 1600 / 0.5;
+    private static final double SMALL_HEAP = LOW_JOBS / 0.7 * 1600 / 0.4;
 
     /** The state service takes so many changes a second from all controllers. */
     private static final double CHANGES_PER_SECOND = 20;
