--- a/src/main/java/org/springmill/control/storage/RateLimit.java
+++ b/src/main/java/org/springmill/control/storage/RateLimit.java
@@ -1,26 +1,33 @@
 package org.springmill.control.storage;
 
-/** A token bucket that holds one second's worth, as the limits of the protocol do. */
+/** A token bucket that holds one second's worth, as the limits of the protocol do, or more. */
 public final class RateLimit {
     /** Rounding of waits may leave this much of a token missing. */
     private static final double TOLERANCE = 1e-9;
 
     private double rate;
+    private double depth;
     private double tokens;
     private double refilledAt;
 
     /** A full bucket. */
     public RateLimit(double perSecond, double now) {
         rate = perSecond;
+        depth = perSecond;
         tokens = perSecond;
         refilledAt = now;
     }
 
-    /** Changes the rate, and so the size of the bucket. */
-    public void setRate(double perSecond, double now) {
+    /**
+     * Changes the rate.
+     *
+     * @param newDepth how much the bucket holds: at least one second's worth
+     */
+    public void setRate(double perSecond, double newDepth, double now) {
         refill(now);
         rate = perSecond;
-        tokens = Math.min(tokens, rate);
+        depth = Math.max(perSecond, newDepth);
+        tokens = Math.min(tokens, depth);
     }
 
     /**
@@ -29,7 +36,7 @@
      */
     public double waitFor(double amount, double now) {
         refill(now);
-        double missing = Math.min(amount, rate) - tokens;
+        double missing = Math.min(amount, depth) - tokens;
         return missing <= TOLERANCE ? 0 : missing / rate;
     }
 
@@ -49,7 +56,7 @@
     }
 
     private void refill(double now) {
-        tokens = Math.min(rate, tokens + (now - refilledAt) * rate);
+        tokens = Math.min(depth, tokens + (now - refilledAt) * rate);
         refilledAt = now;
     }
 }
--- a/src/main/java/org/springmill/control/storage/StateStore.java
+++ b/src/main/java/org/springmill/control/storage/StateStore.java
@@ -33,6 +33,13 @@
     /** Of the requests that the service takes, what transactions of all controllers may be. */
     private static final double COMMIT_REQUEST_SHARE = 0.4;
 
+    /**
+     * Of what the service takes in a second, what a controller that has sent little may send at
+     * once, whatever its share: users come in bursts, and seldom to all controllers at the same
+     * moment. If they do, the service answers some with 429, which are sent again.
+     */
+    private static final double BURST_SHARE = 0.4;
+
     /** Of the requests, what read barriers of all controllers may be. */
     private static final double BARRIER_REQUEST_SHARE = 0.4;
 
@@ -147,8 +154,9 @@
     private void applyShare() {
         double current = share.current();
         double commitsPerS = settings.state().requestsPerS() * COMMIT_REQUEST_SHARE;
-        requests.setRate(commitsPerS * current, loop.now());
-        writes.setRate(settings.state().writesPerS() * current, loop.now());
+        double writesPerS = settings.state().writesPerS();
+        requests.setRate(commitsPerS * current, commitsPerS * BURST_SHARE, loop.now());
+        writes.setRate(writesPerS * current, writesPerS * BURST_SHARE, loop.now());
     }
 
     /** Whether the last request that came to an end was served. */
