--- a/src/main/java/org/springmill/control/storage/StateStore.java
+++ b/src/main/java/org/springmill/control/storage/StateStore.java
@@ -53,12 +53,15 @@
     private final RateLimit requests;
     private final RateLimit writes;
 
-    /** Transactions on which work that was accepted depends. They go first. */
+    /** Transactions on which work that was accepted depends. */
     private final ArrayDeque<Waiting> workQueue = new ArrayDeque<>();
 
     /** Transactions that accept new work. */
     private final ArrayDeque<Waiting> acceptanceQueue = new ArrayDeque<>();
 
+    /** The queue that the latest transaction came from. */
+    private ArrayDeque<Waiting> servedQueue = acceptanceQueue;
+
     private Share share = Share.WHOLE;
     private Settings.State limits;
     private int queuedWrites;
@@ -272,8 +275,8 @@
     }
 
     /**
-     * Commits changes that accept new work, after those of {@link #commit}. What has not been sent
-     * by the given time never is: {@link Outcome#NOT_NOW}.
+     * Commits changes that accept new work, in turns with those of {@link #commit}. What has not
+     * been sent by the given time never is: {@link Outcome#NOT_NOW}.
      */
     public void commitAcceptance(
             List<Condition> conditions,
@@ -438,7 +441,7 @@
     private void pump() {
         while (backlog() > 0) {
             applyShare();
-            ArrayDeque<Waiting> queue = workQueue.isEmpty() ? acceptanceQueue : workQueue;
+            ArrayDeque<Waiting> queue = nextQueue();
             Waiting next = queue.peek();
             double wait =
                     Math.max(
@@ -449,6 +452,7 @@
                 return;
             }
             queue.poll();
+            servedQueue = queue;
             queued(-next.writes());
             requests.take(1, loop.now());
             writes.take(next.writes(), loop.now());
@@ -457,6 +461,18 @@
         }
     }
 
+    /**
+     * The queues take turns. Where work always went first, submissions at a leader with many rounds
+     * waited for seconds; in turns each waits for one round, which has many more changes than it.
+     */
+    private ArrayDeque<Waiting> nextQueue() {
+        if (workQueue.isEmpty()) {
+            return acceptanceQueue;
+        }
+        boolean workWasServed = servedQueue == workQueue;
+        return workWasServed && !acceptanceQueue.isEmpty() ? acceptanceQueue : workQueue;
+    }
+
     /** The share may grow meanwhile, so a long wait is cut into parts. */
     private void pumpAfter(double seconds) {
         if (!pumping) {
--- /dev/null
+++ b/src/test/java/org/springmill/control/storage/StateStoreQueueTest.java
@@ -0,0 +1,98 @@
+package org.springmill.control.storage;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.nio.charset.StandardCharsets;
+import java.util.ArrayList;
+import java.util.List;
+import org.junit.jupiter.api.Test;
+import org.springmill.control.storage.StateStore.Outcome;
+import org.springmill.protocol.Json;
+import org.springmill.protocol.Settings;
+import org.springmill.protocol.SettingsFixtures;
+import org.springmill.protocol.StateMessages.Write;
+import org.springmill.sim.VirtualClock;
+import org.springmill.transport.HttpClient.Reply;
+
+/** The order in which transactions are sent, and those that never are. */
+class StateStoreQueueTest {
+    private static final double CHANGES_PER_SECOND = 10;
+    private static final double TIMEOUT_SECONDS = 1;
+
+    private final VirtualClock clock = new VirtualClock();
+    private final List<String> sent = new ArrayList<>();
+    private final List<Outcome> outcomes = new ArrayList<>();
+    private final StateStore store =
+            new StateStore(
+                    (request, done) -> {
+                        sent.add(new String(request.body(), StandardCharsets.UTF_8));
+                        String committed = "{\"ledgerRev\":9}";
+                        done.accept(new Reply(200, committed.getBytes(StandardCharsets.UTF_8)));
+                    },
+                    clock,
+                    SettingsFixtures.with(new Settings.State(100, CHANGES_PER_SECOND, 8192, 4)),
+                    TIMEOUT_SECONDS);
+
+    private static List<Write> write(String key) {
+        return List.of(Write.put(key, Json.newObject()));
+    }
+
+    private void work(int count) {
+        for (int i = 0; i < count; i++) {
+            store.commit(List.of(), write("work-" + i), result -> {});
+        }
+    }
+
+    private void accept(String key, double sendBy) {
+        store.commitAcceptance(
+                List.of(), write(key), sendBy, result -> outcomes.add(result.outcome()));
+    }
+
+    private int positionOf(String key) {
+        for (int i = 0; i < sent.size(); i++) {
+            if (sent.get(i).contains(key)) {
+                return i;
+            }
+        }
+        return -1;
+    }
+
+    /** Submissions at a leader with many rounds waited for seconds. */
+    @Test
+    void acceptancesTakeTurnsWithWorkThatCameBefore() {
+        work(60);
+        int sentBefore = sent.size();
+        accept("job/run-1", clock.now() + 100);
+        accept("job/run-2", clock.now() + 100);
+        clock.run(1);
+        assertTrue(positionOf("job/run-1") <= sentBefore + 1, "after one of work at most");
+        assertTrue(positionOf("job/run-2") <= sentBefore + 3, "in turns");
+        clock.run(10);
+        assertEquals(62, sent.size(), "all are sent in the end");
+    }
+
+    /** Its user has left by then, and comes back with the same job. */
+    @Test
+    void whatWasNotSentInTimeNeverIs() {
+        for (int i = 0; i < 40; i++) {
+            accept("job/run-" + i + "x", clock.now() + 2);
+        }
+        clock.run(20);
+        long unsent = outcomes.stream().filter(outcome -> outcome == Outcome.NOT_NOW).count();
+        assertEquals(40, outcomes.size(), "each is answered");
+        assertEquals(40 - sent.size(), unsent);
+        double most = CHANGES_PER_SECOND * 3 + 1;
+        assertTrue(sent.size() <= most, sent.size() + " sent");
+        assertEquals(0, store.backlog());
+    }
+
+    @Test
+    void theExpectedWaitIsThatOfTheChangesInLine() {
+        assertEquals(0, store.expectedWaitSeconds(1));
+        work(40);
+        assertEquals(3.1, store.expectedWaitSeconds(1), 0.05);
+        clock.run(2);
+        assertEquals(1.1, store.expectedWaitSeconds(1), 0.15);
+    }
+}
