Leader: ends of jobs and notes of image locations in classes of their own

Change: JobEnds and ImageLocationNotes, moved as they were; the answer to a done record is a method of its own.

--- /dev/null
+++ b/src/main/java/org/springmill/control/coordination/JobEnds.java
@@ -0,0 +1,125 @@
+package org.springmill.control.coordination;
+
+import java.util.List;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
+import org.springmill.control.storage.JobRecord;
+import org.springmill.control.storage.StateStore;
+import org.springmill.control.storage.StateStore.CommitResult;
+import org.springmill.control.storage.StateStore.Outcome;
+import org.springmill.protocol.StateMessages.Condition;
+import org.springmill.protocol.StateMessages.Write;
+import org.springmill.protocol.UserMessages.Phase;
+import org.springmill.transport.Loop;
+
+/** Ends the jobs of one leader's term: records that they are done, and drops what is over. */
+final class JobEnds {
+    private static final Logger LOG = LoggerFactory.getLogger(JobEnds.class);
+
+    private final StateStore store;
+    private final JobDirectory directory;
+    private final ClusterState clusterState;
+    private final Leadership leadership;
+    private final Loop loop;
+    private final Timing timing;
+    private final double skewSeconds;
+    private boolean closed;
+
+    /**
+     * @param skewSeconds bound on how far the time of day may be off
+     */
+    JobEnds(
+            StateStore store,
+            JobDirectory directory,
+            ClusterState clusterState,
+            Leadership leadership,
+            Loop loop,
+            Timing timing,
+            double skewSeconds) {
+        this.store = store;
+        this.directory = directory;
+        this.clusterState = clusterState;
+        this.leadership = leadership;
+        this.loop = loop;
+        this.timing = timing;
+        this.skewSeconds = skewSeconds;
+    }
+
+    void close() {
+        closed = true;
+    }
+
+    /**
+     * A job that ended while tasks of it may still be on machines: they count until they are proven
+     * gone.
+     */
+    Job endedJob(String id) {
+        JobRecord record = directory.get(id);
+        Job job = new Job(record.submission(), record.version());
+        job.end(record.phase(), record.version(), endedSince(record));
+        clusterState.add(job);
+        return job;
+    }
+
+    /**
+     * Since when a job is to be counted as ended, by this clock; its end may have become known here
+     * only later.
+     */
+    double endedSince(JobRecord record) {
+        // A machine that can be reached answers within a report or so. Others are left alone for as
+        // long as the time
+        // allows: counting from the takeover, each new leader gave up a cut zone's machines with
+        // all that ran on them.
+        double ago = loop.timeOfDay() - record.endedAt() + 2 * skewSeconds;
+        return loop.now() - Math.max(0, Math.min(ago, timing.cancelDeleteS() - timing.reportS()));
+    }
+
+    /** Forgets a job that has ended and of which nothing runs any more. */
+    void dropIfOver(Job job) {
+        if (!job.active() && job.liveCount() == 0) {
+            clusterState.dropJob(job);
+        }
+    }
+
+    /** Records that a job is done once all of its tasks are. */
+    void finishIfComplete(Job job) {
+        if (job.active() && job.complete() && job.beginEnding()) {
+            writeDone(job);
+        }
+    }
+
+    /** The job's record decides between done and cancelled: whichever is written first stays. */
+    private void writeDone(Job job) {
+        if (closed || !job.active()) {
+            return;
+        }
+        JobRecord done = directory.get(job.id()).ended(Phase.DONE, loop.timeOfDay());
+        store.commit(
+                List.of(leadership.condition(), new Condition(done.key(), job.version())),
+                List.of(Write.put(done.key(), done.encode(store.limits().valueBytes()))),
+                result -> answered(job, done, result));
+    }
+
+    private void answered(Job job, JobRecord done, CommitResult result) {
+        if (closed) {
+            return;
+        }
+        if (result.outcome() == Outcome.COMMITTED) {
+            directory.learn(done.committed(result.revision()));
+        } else if (result.outcome() == Outcome.REFUSED && result.failed().isEmpty()) {
+            // The same again would be refused for ever. A later leader tries once more.
+            LOG.error("{} is done, but its record is refused by the state service", job.id());
+        } else if (result.outcome() == Outcome.REFUSED) {
+            // Cancelled meanwhile, or an earlier copy of this write was applied: the record tells.
+            directory.barrier(read -> writeDoneAgain(job));
+        } else {
+            loop.after(timing.pingS(), () -> writeDone(job));
+        }
+    }
+
+    private void writeDoneAgain(Job job) {
+        if (job.active()) {
+            loop.after(timing.renewS(), () -> writeDone(job));
+        }
+    }
+}
--- a/src/main/java/org/springmill/control/coordination/Leader.java
+++ b/src/main/java/org/springmill/control/coordination/Leader.java
@@ -1,6 +1,5 @@
 package org.springmill.control.coordination;
 
-import com.fasterxml.jackson.databind.JsonNode;
 import java.util.ArrayList;
 import java.util.BitSet;
 import java.util.List;
@@ -13,15 +12,11 @@
 import org.springmill.control.history.HistoryMembers;
 import org.springmill.control.history.HistoryMover;
 import org.springmill.control.storage.Claim;
-import org.springmill.control.storage.ImageLocations;
 import org.springmill.control.storage.JobRecord;
 import org.springmill.control.storage.RoundLog;
 import org.springmill.control.storage.StateStore;
-import org.springmill.control.storage.StateStore.Outcome;
 import org.springmill.protocol.PeerMessages.JobProgress;
 import org.springmill.protocol.Settings;
-import org.springmill.protocol.StateMessages.Condition;
-import org.springmill.protocol.StateMessages.Write;
 import org.springmill.protocol.UserMessages.Phase;
 import org.springmill.protocol.WorkerMessages;
 import org.springmill.protocol.WorkerMessages.Command;
@@ -56,11 +51,12 @@
     private final CancellationPersister cancellations;
     private final DependencyPriority order;
     private final WorkloadBroadcast broadcast;
+    private final ImageLocationNotes imageLocations;
+    private final JobEnds jobEnds;
 
     /** Empty unless the operators have switched the bounded history on. */
     private final Optional<HistoryMover> history;
 
-    private JsonNode lastNotes;
     private double tickedAt;
     private boolean rebuilt;
     private boolean closed;
@@ -131,6 +127,10 @@
                         settings.node(),
                         fleet.term(),
                         timing.reportS());
+        imageLocations = new ImageLocationNotes(store, fleet, leadership, loop, timing.leaseS());
+        jobEnds =
+                new JobEnds(
+                        store, directory, clusterState, leadership, loop, timing, settings.skewS());
         demand = new Demand(settings, loop.now());
         order = new DependencyPriority(directory, clusterState);
         cancellations = new CancellationPersister(store, directory, leadership, loop);
@@ -164,6 +164,8 @@
         dispatcher.close();
         rounds.close();
         broadcast.close();
+        imageLocations.close();
+        jobEnds.close();
         rentals.close();
         cancellations.close();
     }
@@ -222,7 +224,7 @@
                 LOG.error("claim of {} although its record has been moved", claim.task());
                 continue;
             }
-            Job job = known == null ? endedJob(claim.task().job()) : known;
+            Job job = known == null ? jobEnds.endedJob(claim.task().job()) : known;
             Machine machine = fleet.machine(claim.machine());
             Attempt attempt = new Attempt(claim, job, machine, now);
             attempt.exposed(machine.token() - 1, 0);
@@ -245,7 +247,7 @@
             dispatcher.poke(machine);
         }
         for (Job job : new ArrayList<>(clusterState.jobs().values())) {
-            finishIfComplete(job);
+            jobEnds.finishIfComplete(job);
         }
         rounds.request();
         tickedAt = loop.now();
@@ -253,54 +255,7 @@
         broadcast.start();
         cancellations.run();
         history.ifPresent(HistoryMover::start);
-        store.get(
-                ImageLocations.KEY,
-                read -> {
-                    if (read.entry() != null) {
-                        fleet.adopt(ImageLocations.decode(read.entry().value()));
-                    }
-                    loop.after(timing.leaseS(), this::noteImages);
-                });
-    }
-
-    private void noteImages() {
-        if (closed) {
-            return;
-        }
-        loop.after(timing.leaseS(), this::noteImages);
-        JsonNode notes = fleet.imageLocations().encode(store.limits().valueBytes());
-        if (leadership.mayPlace() && !notes.equals(lastNotes) && store.backlog() == 0) {
-            lastNotes = notes;
-            store.commit(
-                    List.of(leadership.condition()),
-                    List.of(Write.put(ImageLocations.KEY, notes)),
-                    result -> {});
-        }
-    }
-
-    /**
-     * A job that ended while tasks of it may still be on machines: they count until they are proven
-     * gone.
-     */
-    private Job endedJob(String id) {
-        JobRecord record = directory.get(id);
-        Job job = new Job(record.submission(), record.version());
-        job.end(record.phase(), record.version(), endedSince(record));
-        clusterState.add(job);
-        return job;
-    }
-
-    /**
-     * Since when a job is to be counted as ended, by this clock; its end may have become known here
-     * only later.
-     */
-    private double endedSince(JobRecord record) {
-        // A machine that can be reached answers within a report or so. Others are left alone for as
-        // long as the time
-        // allows: counting from the takeover, each new leader gave up a cut zone's machines with
-        // all that ran on them.
-        double ago = loop.timeOfDay() - record.endedAt() + 2 * settings.skewS();
-        return loop.now() - Math.max(0, Math.min(ago, timing.cancelDeleteS() - timing.reportS()));
+        imageLocations.start();
     }
 
     private void tick() {
@@ -415,13 +370,13 @@
             releaseIfReady(job);
         }
         if (!record.active() && job.active()) {
-            job.end(record.phase(), record.version(), endedSince(record));
+            job.end(record.phase(), record.version(), jobEnds.endedSince(record));
             order.changed(job);
             for (Attempt attempt : job.attempts()) {
                 fleet.stop(attempt, 0);
                 dispatcher.poke(attempt.machine());
             }
-            dropIfOver(job);
+            jobEnds.dropIfOver(job);
             rounds.request();
         }
     }
@@ -462,12 +417,6 @@
         }
     }
 
-    private void dropIfOver(Job job) {
-        if (!job.active() && job.liveCount() == 0) {
-            clusterState.dropJob(job);
-        }
-    }
-
     private void roundCommitted(List<Attempt> claimed, List<Attempt> ended) {
         broadcast.placed(claimed);
         for (Attempt attempt : claimed) {
@@ -475,50 +424,9 @@
         }
         for (Attempt attempt : ended) {
             dispatcher.poke(attempt.machine());
-            finishIfComplete(attempt.job());
-            dropIfOver(attempt.job());
-        }
-    }
-
-    private void finishIfComplete(Job job) {
-        if (job.active() && job.complete() && job.beginEnding()) {
-            writeDone(job);
-        }
-    }
-
-    /** The job's record decides between done and cancelled: whichever is written first stays. */
-    private void writeDone(Job job) {
-        if (closed || !job.active()) {
-            return;
+            jobEnds.finishIfComplete(attempt.job());
+            jobEnds.dropIfOver(attempt.job());
         }
-        JobRecord done = directory.get(job.id()).ended(Phase.DONE, loop.timeOfDay());
-        store.commit(
-                List.of(leadership.condition(), new Condition(done.key(), job.version())),
-                List.of(Write.put(done.key(), done.encode(store.limits().valueBytes()))),
-                result -> {
-                    if (closed) {
-                        return;
-                    }
-                    if (result.outcome() == Outcome.COMMITTED) {
-                        directory.learn(done.committed(result.revision()));
-                    } else if (result.outcome() == Outcome.REFUSED && result.failed().isEmpty()) {
-                        // The same again would be refused for ever. A later leader tries once more.
-                        LOG.error(
-                                "{} is done, but its record is refused by the state service",
-                                job.id());
-                    } else if (result.outcome() == Outcome.REFUSED) {
-                        // Cancelled meanwhile, or an earlier copy of this write was applied: the
-                        // record tells.
-                        directory.barrier(
-                                ok -> {
-                                    if (job.active()) {
-                                        loop.after(timing.renewS(), () -> writeDone(job));
-                                    }
-                                });
-                    } else {
-                        loop.after(timing.pingS(), () -> writeDone(job));
-                    }
-                });
     }
 
     /** Answers a worker's report. */
