--- a/src/main/java/org/springmill/emulator/Emulation.java
+++ b/src/main/java/org/springmill/emulator/Emulation.java
@@ -65,6 +65,7 @@
     private long servedBefore;
     private long writtenBefore;
     private long startsBefore;
+    private long acceptedBefore;
     private long endsBefore;
 
     /**
@@ -244,7 +245,9 @@
                         rules.starts() - startsBefore,
                         rules.ends() - endsBefore,
                         users.unfinished(),
-                        users.healthyControllers());
+                        users.healthyControllers(),
+                        users.accepted() - acceptedBefore);
+        acceptedBefore = users.accepted();
         startsBefore = rules.starts();
         endsBefore = rules.ends();
         timeline.add(point);
@@ -284,6 +287,7 @@
                         measurements.percentiles(),
                         rates,
                         measurements.outcomes(),
+                        measurements.refusals(),
                         controllers.use(seconds),
                         (emulatorSeconds() - emulatorSecondsBefore) / seconds,
                         workerBytesPerS(rates),
--- a/src/main/java/org/springmill/emulator/EmulationResult.java
+++ b/src/main/java/org/springmill/emulator/EmulationResult.java
@@ -17,6 +17,7 @@
  * @param scaledTo machines, zones and teams of the scenario
  * @param emulatorProcessorShare of one core, that the emulation itself took
  * @param workerBytesPerS bodies to and from one worker on average
+ * @param refusals submissions that were refused for now, by the reason that users were told
  * @param timeline one point a second
  * @param violations rules of the protocol that were broken; the first hundred
  */
@@ -29,6 +30,7 @@
         Map<String, Percentiles> latencyMs,
         Map<String, Rates> perSecond,
         Map<String, Long> answers,
+        Map<String, Long> refusals,
         List<ControllerUse> controllers,
         double emulatorProcessorShare,
         double workerBytesPerS,
@@ -85,9 +87,19 @@
             int lowestRunning,
             double recoveredS) {}
 
-    /** One second of the emulation, counted from the readiness of the controllers. */
+    /**
+     * One second of the emulation, counted from the readiness of the controllers.
+     *
+     * @param accepted jobs accepted in that second
+     */
     public record Point(
-            int second, int running, long starts, long ends, int unfinishedJobs, int ready) {}
+            int second,
+            int running,
+            long starts,
+            long ends,
+            int unfinishedJobs,
+            int ready,
+            long accepted) {}
 
     /** Whether every rule held. */
     public boolean rulesHeld() {
--- a/src/main/java/org/springmill/emulator/HollowUsers.java
+++ b/src/main/java/org/springmill/emulator/HollowUsers.java
@@ -44,6 +44,7 @@
     private final Map<String, Double> acceptedAt = new HashMap<>();
     private int numbers;
     private long gaveUp;
+    private long acceptedCount;
     private boolean stopped;
 
     /** A job from its submission to its end, as its user sees it. */
@@ -75,10 +76,12 @@
             measurements.message(
                     Message.SUBMISSION, Json.bytes(spec.toJson()).length, reply.body().length);
             if (reply.status() != 200 && reply.status() != 201) {
+                countRefusal(reply);
                 loop.after(Math.max(RETRY_SECONDS, reply.retryAfterS()), this::submit);
                 return;
             }
             accepted = true;
+            acceptedCount++;
             acceptedAt.put(spec.id(), loop.now());
             measurements.latency(Latency.ACCEPTANCE, loop.now() - since);
             loop.after(scenario.users().pollS() * random.nextDouble(), this::poll);
@@ -87,6 +90,12 @@
             }
         }
 
+        private void countRefusal(Reply reply) {
+            if (reply.answered()) {
+                measurements.refusal(UserSideMessages.reason(reply.body()));
+            }
+        }
+
         private void poll() {
             if (stopped || !acceptedAt.containsKey(spec.id())) {
                 return;
@@ -270,6 +279,11 @@
         return acceptedAt.size();
     }
 
+    /** Jobs that were accepted so far. */
+    long accepted() {
+        return acceptedCount;
+    }
+
     /** Jobs that no controller took within the users' patience. */
     long gaveUp() {
         return gaveUp;
--- a/src/main/java/org/springmill/emulator/Measurements.java
+++ b/src/main/java/org/springmill/emulator/Measurements.java
@@ -17,6 +17,7 @@
     private final Map<Latency, ConcurrentHistogram> latencies = new ConcurrentHashMap<>();
     private final Map<Message, Traffic> traffic = new ConcurrentHashMap<>();
     private final Map<String, LongAdder> outcomes = new ConcurrentHashMap<>();
+    private final Map<String, LongAdder> refusals = new ConcurrentHashMap<>();
     private volatile boolean counting;
 
     /** What takes time. */
@@ -85,6 +86,20 @@
         }
     }
 
+    /** Counts a submission that was refused for now, by the reason that its user was told. */
+    void refusal(String reason) {
+        if (counting) {
+            refusals.computeIfAbsent(reason, r -> new LongAdder()).increment();
+        }
+    }
+
+    /** Refused submissions by reason. */
+    Map<String, Long> refusals() {
+        Map<String, Long> all = new TreeMap<>();
+        refusals.forEach((reason, sum) -> all.put(reason, sum.sum()));
+        return all;
+    }
+
     /** Percentiles of a latency in milliseconds. */
     record Percentiles(
             long count, double p50, double p90, double p95, double p99, double p999, double max) {}
--- a/src/main/java/org/springmill/protocol/counterpart/UserSideMessages.java
+++ b/src/main/java/org/springmill/protocol/counterpart/UserSideMessages.java
@@ -18,4 +18,13 @@
             throw new BadMessageException("no phase");
         }
     }
+
+    /** The reason that a refusal gives; empty if it gives none. */
+    public static String reason(byte[] body) {
+        try {
+            return Json.object(body).path("error").asText();
+        } catch (BadMessageException e) {
+            return "";
+        }
+    }
 }
