Job records are read page by page, not held until the last page came

Cause: a controller that missed more changes than the state service keeps, as one that stood still at 400 jobs a second does within seconds, reads all job records anew. It held the parsed pages of all of them, some kilobytes a record, until the last had come; with 24,000 recent jobs that is more than a heap of 56 MB. The same held up starts with many records.

Change: the feed passes each page on as it comes. What was passed on before is not passed on again from such a list, since its record may have been moved meanwhile.

--- a/src/main/java/org/springmill/control/coordination/JobRecordFeed.java
+++ b/src/main/java/org/springmill/control/coordination/JobRecordFeed.java
@@ -1,17 +1,16 @@
 package org.springmill.control.coordination;
 
 import java.util.ArrayList;
+import java.util.HashSet;
 import java.util.List;
 import java.util.Set;
 import java.util.function.Consumer;
-import java.util.stream.Collectors;
 import org.springmill.control.storage.JobRecord;
 import org.springmill.control.storage.StateStore;
 import org.springmill.control.storage.StateStore.ChangesResult;
 import org.springmill.protocol.StateMessages.Change;
 import org.springmill.protocol.StateMessages.Changes;
 import org.springmill.protocol.StateMessages.Entry;
-import org.springmill.protocol.StateMessages.Page;
 import org.springmill.transport.Loop;
 
 /**
@@ -62,30 +61,41 @@
         barrierIntervalS = 1 / store.barriersPerS();
     }
 
-    /** Reads all records, and follows their changes from there. */
+    /**
+     * Reads all records, and follows their changes from there. They are passed on page by page:
+     * held until the last one came, those of some ten thousand jobs took more memory than all else.
+     */
     void start() {
         double askedAt = loop.now();
+        Set<String> keys = new HashSet<>();
         store.list(
                 JobRecord.PREFIX,
-                page -> {
-                    if (page == null) {
+                entries -> takePage(entries, keys),
+                revision -> {
+                    if (revision < 0) {
                         loop.after(timing.renewS(), this::start);
                         return;
                     }
-                    takeAll(page, askedAt);
+                    takenAll(keys, revision, askedAt);
                     watch();
                 });
     }
 
-    private void takeAll(Page page, double askedAt) {
-        for (Entry entry : page.entries()) {
-            listener.changed(new Change(entry.key(), entry.value(), entry.version()));
+    private void takePage(List<Entry> entries, Set<String> keys) {
+        for (Entry entry : entries) {
+            keys.add(entry.key());
+            // What was passed on before may have been moved since.
+            if (entry.version() > cursor) {
+                listener.changed(new Change(entry.key(), entry.value(), entry.version()));
+            }
         }
-        cursor = Math.max(cursor, page.revision());
+    }
+
+    private void takenAll(Set<String> keys, long revision, double askedAt) {
+        cursor = Math.max(cursor, revision);
         currentAt = Math.max(currentAt, askedAt);
         if (loaded) {
-            Set<String> keys = page.entries().stream().map(Entry::key).collect(Collectors.toSet());
-            listener.readAgain(keys, page.revision());
+            listener.readAgain(keys, revision);
         } else {
             loaded = true;
             listener.loaded();
--- a/src/main/java/org/springmill/control/storage/StateStore.java
+++ b/src/main/java/org/springmill/control/storage/StateStore.java
@@ -29,6 +29,8 @@
 public final class StateStore {
     private static final Logger LOG = LoggerFactory.getLogger(StateStore.class);
     private static final byte[] EMPTY = new byte[0];
+    private static final long FIRST_PAGE = -1;
+    private static final long NOT_READ = -1;
 
     /** Of the requests that the service takes, what transactions of all controllers may be. */
     private static final double COMMIT_REQUEST_SHARE = 0.4;
@@ -231,15 +233,30 @@
 
     /** Reads all keys with a prefix; null if it could not be done. */
     public void list(String prefix, Consumer<Page> done) {
-        list(prefix, null, new ArrayList<>(), -1, done);
+        List<Entry> found = new ArrayList<>();
+        list(
+                prefix,
+                found::addAll,
+                revision -> done.accept(revision < 0 ? null : new Page(found, false, revision)));
+    }
+
+    /**
+     * Reads all keys with a prefix page by page, for what is too much to be held at once.
+     *
+     * @param page takes the entries of each page as it comes
+     * @param done takes the revision of the first page, from which a watch has to go on since later
+     *     pages may be of later ones; negative if a page could not be read
+     */
+    public void list(String prefix, Consumer<List<Entry>> page, LongConsumer done) {
+        list(prefix, null, FIRST_PAGE, page, done);
     }
 
     private void list(
             String prefix,
             String after,
-            List<Entry> found,
             long firstRevision,
-            Consumer<Page> done) {
+            Consumer<List<Entry>> taker,
+            LongConsumer done) {
         now(
                 "GET",
                 StateMessages.listPath(prefix, after),
@@ -248,22 +265,16 @@
                 reply -> {
                     Page page = reply.ok() ? parse(reply, StateMessages::page) : null;
                     if (page == null) {
-                        done.accept(null);
+                        done.accept(NOT_READ);
                         return;
                     }
-                    found.addAll(page.entries());
-                    // Pages may be of different revisions: the first one's is what a watch has to
-                    // go on from.
-                    long revision = firstRevision < 0 ? page.revision() : firstRevision;
+                    taker.accept(page.entries());
+                    long revision = firstRevision == FIRST_PAGE ? page.revision() : firstRevision;
                     if (page.more() && !page.entries().isEmpty()) {
-                        list(
-                                prefix,
-                                page.entries().get(page.entries().size() - 1).key(),
-                                found,
-                                revision,
-                                done);
+                        String last = page.entries().get(page.entries().size() - 1).key();
+                        list(prefix, last, revision, taker, done);
                     } else {
-                        done.accept(new Page(found, false, revision));
+                        done.accept(revision);
                     }
                 });
     }
--- a/src/test/java/org/springmill/control/coordination/JobRecordFeedTest.java
+++ b/src/test/java/org/springmill/control/coordination/JobRecordFeedTest.java
@@ -106,6 +106,53 @@
         assertEquals(List.of("loaded", "put 20", "read again [job/run-2] at 30"), passedOn);
     }
 
+    /**
+     * Held until the last page came, the records of 24,000 jobs ended a controller for memory that
+     * had missed too many changes while it stood still.
+     */
+    @Test
+    void recordsArePassedOnPageByPageAndReadFromTheFirstAgainIfOneFails() {
+        String first =
+                "{\"pairs\":[{\"key\":\"job/run-1\",\"value\":{},\"stamp\":3}],"
+                        + "\"truncated\":true,\"ledgerRev\":7}";
+        String last =
+                "{\"pairs\":[{\"key\":\"job/run-2\",\"value\":{},\"stamp\":8}],"
+                        + "\"truncated\":false,\"ledgerRev\":9}";
+        feed.start();
+        answer(0, 200, first);
+        assertEquals(List.of("put 3"), passedOn, "before the second page");
+        answer(1, 503, "{}");
+        clock.run(2);
+        answer(2, 200, first);
+        answer(3, 200, last);
+        assertEquals(List.of("put 3", "put 3", "put 8", "loaded"), passedOn);
+        assertEquals(7, feed.cursor(), "a watch goes on from the first page");
+    }
+
+    /** A barrier has read of its end and its move while the list was on its way. */
+    @Test
+    void aRecordThatWasPassedOnBeforeIsNotPassedOnFromAList() {
+        feed.start();
+        answer(0, 200, EMPTY_LIST);
+        feed.barrier(current -> passedOn.add("barrier " + current));
+        answer(1, 410, "{}");
+        answer(2, 200, changes(9, CREATED, ENDED, DELETED));
+        answer(
+                3,
+                200,
+                "{\"pairs\":[{\"key\":\"job/run-1\",\"value\":{},\"stamp\":8}],"
+                        + "\"truncated\":false,\"ledgerRev\":8}");
+        assertEquals(
+                List.of(
+                        "loaded",
+                        "put 6",
+                        "put 8",
+                        "deleted 9",
+                        "barrier true",
+                        "read again [job/run-1] at 8"),
+                passedOn);
+    }
+
     @Test
     void aBarrierBeforeTheFirstReadingIsRefused() {
         feed.barrier(current -> passedOn.add("barrier " + current));
