Placement: how long an attempt ran is worked out once; bounds and conditions by their names

Need: three classes worked it out alike, ClusterState compared with bare numbers, and a condition in Reservations was named for what it is not. Change: Attempt.ranSeconds, Resources.ROUNDING, mayWaitOn.

--- a/src/main/java/org/springmill/control/coordination/Attempt.java
+++ b/src/main/java/org/springmill/control/coordination/Attempt.java
@@ -102,6 +102,11 @@
         return claimedAt;
     }
 
+    /** For how long its task has been seen to run; 0 if it does not. */
+    double ranSeconds(double now) {
+        return state == State.RUNNING ? now - runningSince : 0;
+    }
+
     double runningSince() {
         return runningSince;
     }
--- a/src/main/java/org/springmill/control/coordination/ClusterState.java
+++ b/src/main/java/org/springmill/control/coordination/ClusterState.java
@@ -27,6 +27,9 @@
 
     /** What a team's attempts take. */
     static final class Usage {
+        /** How many tasks a resource allows that is not bounded or not needed. */
+        private static final double UNBOUNDED_TASKS = 1e9;
+
         private final Settings.Team team;
         private double cpus;
         private double gpus;
@@ -74,8 +77,10 @@
          * stopped.
          */
         boolean exceedsGuaranteeWithout(double lessCpus, double lessGpus) {
-            return (team.cpus() > 0 && cpus - leavingCpus - lessCpus > team.cpus() - 1e-6)
-                    || (team.gpus() > 0 && gpus - leavingGpus - lessGpus > team.gpus() - 1e-6);
+            return (team.cpus() > 0
+                            && cpus - leavingCpus - lessCpus > team.cpus() - Resources.ROUNDING)
+                    || (team.gpus() > 0
+                            && gpus - leavingGpus - lessGpus > team.gpus() - Resources.ROUNDING);
         }
 
         private void leaving(Submission spec, int sign) {
@@ -104,12 +109,12 @@
                 double usedGpus) {
             double byCpus =
                     cpuBound == 0 || spec.cpus() == 0
-                            ? 1e9
-                            : (cpuBound - usedCpus + 1e-6) / spec.cpus();
+                            ? UNBOUNDED_TASKS
+                            : (cpuBound - usedCpus + Resources.ROUNDING) / spec.cpus();
             double byGpus =
                     gpuBound == 0 || spec.gpus() == 0
-                            ? 1e9
-                            : (gpuBound - usedGpus + 1e-6) / spec.gpus();
+                            ? UNBOUNDED_TASKS
+                            : (gpuBound - usedGpus + Resources.ROUNDING) / spec.gpus();
             return (int) Math.max(0, Math.floor(Math.min(byCpus, byGpus)));
         }
     }
--- a/src/main/java/org/springmill/control/coordination/MachineDraining.java
+++ b/src/main/java/org/springmill/control/coordination/MachineDraining.java
@@ -126,8 +126,7 @@
     }
 
     private boolean mayMove(Attempt attempt, double now) {
-        return attempt.state() == Attempt.State.RUNNING
-                && now - attempt.runningSince() > LEASES_RUNNING * timing.leaseS();
+        return attempt.ranSeconds(now) > LEASES_RUNNING * timing.leaseS();
     }
 
     /** Whether everything on a machine finds room on others; packs it there. */
--- a/src/main/java/org/springmill/control/coordination/Preemption.java
+++ b/src/main/java/org/springmill/control/coordination/Preemption.java
@@ -166,7 +166,7 @@
 
     private static double lostWork(Attempt attempt, double now) {
         Submission spec = attempt.job().spec();
-        double ran = attempt.state() == Attempt.State.RUNNING ? now - attempt.runningSince() : 0;
+        double ran = attempt.ranSeconds(now);
         return spec.checkpoints() ? Math.min(ran, spec.saveS()) : ran;
     }
 
--- a/src/main/java/org/springmill/control/coordination/Reservations.java
+++ b/src/main/java/org/springmill/control/coordination/Reservations.java
@@ -62,18 +62,23 @@
                                         || !isOfUse(e.getKey(), e.getValue(), now));
     }
 
+    /**
+     * Whether a job needs no reservation: some of it runs, it has not waited for long, or it fails
+     * where it runs and so waits for itself.
+     */
+    private boolean mayWaitOn(Job job, double now) {
+        return begun(job)
+                || job.machinesFailedOn() > 1
+                || now - waitsSince.get(job) < LEASES_BEFORE_RESERVATION * timing.leaseS();
+    }
+
     /**
      * Keeps the machine that should have room soonest from work of no higher priority. Where there
      * is more work than room, what is small takes each piece as it comes free; a task that needs
      * most of a machine never began.
      */
     void reserve(Job job, List<Machine> open, double now) {
-        // Nor for one that fails where it runs: it waits for itself.
-        boolean hasNoClaim =
-                begun(job)
-                        || job.machinesFailedOn() > 1
-                        || now - waitsSince.get(job) < LEASES_BEFORE_RESERVATION * timing.leaseS();
-        if (hasNoClaim
+        if (mayWaitOn(job, now)
                 || reserved.containsValue(job)
                 || reserved.size() >= Math.max(1, open.size() * RESERVED_SHARE)) {
             return;
@@ -121,7 +126,7 @@
     }
 
     private static double secondsUntilEnd(Attempt attempt, double now) {
-        double ran = attempt.state() == Attempt.State.RUNNING ? now - attempt.runningSince() : 0;
+        double ran = attempt.ranSeconds(now);
         return attempt.state() == Attempt.State.STOPPING
                 ? 0
                 : Math.max(0, attempt.job().spec().estimateS() - ran);
