Emulator: a scenario may build on another, and take the run line of the deployment

Need: six files of the target size repeated each other but for counts and failures, and each its own run line. Change: base = "target.hcl" takes what is not set from that file; controllers.operator adds the operators' file to the run line of deploy/service.toml.

--- a/src/main/java/org/springmill/emulator/ScenarioFile.java
+++ b/src/main/java/org/springmill/emulator/ScenarioFile.java
@@ -22,7 +22,6 @@
 import org.springmill.emulator.Scenario.Teams;
 import org.springmill.emulator.Scenario.Users;
 import org.springmill.emulator.Scenario.Workers;
-import org.springmill.protocol.HclFile;
 import org.springmill.protocol.Priority;
 import org.springmill.protocol.SettingsException;
 import org.springmill.protocol.Shape;
@@ -35,6 +34,9 @@
     private static final Path DEPLOYMENT = Path.of("deploy/service.toml");
     private static final double MANY = 1e6;
 
+    /** With which every run line ends; the file follows. */
+    private static final String CONFIG_OPTION = "--config$";
+
     private final Path file;
 
     private ScenarioFile(Path file) {
@@ -48,7 +50,7 @@
      */
     public static Scenario read(Path file) throws SettingsException {
         ScenarioFile scenario = new ScenarioFile(file);
-        Block root = new Block(file, "", HclFile.read(file, "--scenario"));
+        Block root = new Block(file, "", ScenarioBase.read(file));
         Scenario read = scenario.scenario(root);
         root.refuseUnknown();
         return read;
@@ -82,6 +84,9 @@
 
     private Controllers controllers(Block block) throws SettingsException {
         String run = block.has("run") ? block.text("run") : runLine();
+        if (block.has("operator")) {
+            run = run.replaceFirst(CONFIG_OPTION, "--operator " + block.text("operator") + " $0");
+        }
         Controllers controllers =
                 new Controllers(
                         (int) block.number("number", 1, 9),
--- a/src/test/java/org/springmill/emulator/ScenarioFileTest.java
+++ b/src/test/java/org/springmill/emulator/ScenarioFileTest.java
@@ -65,6 +65,41 @@
         }
     }
 
+    @Test
+    void aScenarioTakesFromItsBaseWhatItDoesNotSet() throws Exception {
+        Scenario base = ScenarioFile.read(SCENARIOS.resolve("target.hcl"));
+        Scenario half = ScenarioFile.read(SCENARIOS.resolve("target-half.hcl"));
+        assertEquals(base.state(), half.state());
+        assertEquals(base.controllers(), half.controllers());
+        assertEquals(1100, half.machineCount());
+        assertEquals(base.jobs().get(0).images(), half.jobs().get(0).images());
+        assertTrue(half.teams().cpus() < base.teams().cpus());
+    }
+
+    @Test
+    void theRunLineOfTheDeploymentTakesTheOperatorsFile() throws Exception {
+        Scenario scenario = ScenarioFile.read(SCENARIOS.resolve("four-thousand.hcl"));
+        String run = scenario.controllers().run();
+        assertTrue(run.endsWith("run --operator scenarios/operator.hcl --config"), run);
+        assertEquals(4000, scenario.machineCount());
+    }
+
+    @ParameterizedTest
+    @CsvSource(
+            delimiter = '|',
+            value = {
+                "base = \"gone.hcl\"  | gone.hcl: cannot be read; name an existing HCL file with base in",
+                "base = \"other.hcl\" | base names a scenario that builds on another",
+                "base = \"wrong.hcl\" | base names a scenario that builds on another",
+            })
+    void aBaseThatCannotServeIsSaidWithRemedy(String content, String says) throws IOException {
+        Files.writeString(folder.resolve("other.hcl"), "base = \"third.hcl\"\n");
+        Path file = Files.writeString(folder.resolve("wrong.hcl"), content + "\n");
+        SettingsException wrong =
+                assertThrows(SettingsException.class, () -> ScenarioFile.read(file));
+        assertTrue(wrong.getMessage().contains(says), wrong.getMessage());
+    }
+
     @Test
     void theTargetHasTheOperatorsSize() throws Exception {
         Scenario target = ScenarioFile.read(SCENARIOS.resolve("target.hcl"));
