Leader: rebuilding and reports of workers in classes of their own

Change: ClusterRebuild and WorkerReports, moved as they were; machines with overdue tasks are found by JobEnds.

--- a/src/main/java/org/springmill/control/coordination/JobEnds.java
+++ b/src/main/java/org/springmill/control/coordination/JobEnds.java
@@ -74,6 +74,21 @@
         return loop.now() - Math.max(0, Math.min(ago, timing.cancelDeleteS() - timing.reportS()));
     }
 
+    /**
+     * Machines with cancelled tasks that could not be stopped in time: the tasks can only go with
+     * their machines.
+     */
+    List<Machine> machinesWithOverdueTasks() {
+        double now = loop.now();
+        return clusterState.jobs().values().stream()
+                .filter(job -> !job.active() && job.liveCount() > 0)
+                .filter(job -> now - job.endedAt() > timing.cancelDeleteS())
+                .flatMap(job -> job.attempts().stream())
+                .filter(attempt -> attempt.state() == Attempt.State.STOPPING)
+                .map(Attempt::machine)
+                .toList();
+    }
+
     /** Forgets a job that has ended and of which nothing runs any more. */
     void dropIfOver(Job job) {
         if (!job.active() && job.liveCount() == 0) {
--- a/src/main/java/org/springmill/control/coordination/Leader.java
+++ b/src/main/java/org/springmill/control/coordination/Leader.java
@@ -1,7 +1,6 @@
 package org.springmill.control.coordination;
 
 import java.util.ArrayList;
-import java.util.BitSet;
 import java.util.List;
 import java.util.Optional;
 import java.util.OptionalDouble;
@@ -11,15 +10,12 @@
 import org.springmill.control.admission.QueueWaits;
 import org.springmill.control.history.HistoryMembers;
 import org.springmill.control.history.HistoryMover;
-import org.springmill.control.storage.Claim;
 import org.springmill.control.storage.JobRecord;
 import org.springmill.control.storage.RoundLog;
 import org.springmill.control.storage.StateStore;
 import org.springmill.protocol.PeerMessages.JobProgress;
 import org.springmill.protocol.Settings;
 import org.springmill.protocol.UserMessages.Phase;
-import org.springmill.protocol.WorkerMessages;
-import org.springmill.protocol.WorkerMessages.Command;
 import org.springmill.protocol.WorkerMessages.Report;
 import org.springmill.transport.HttpClient;
 import org.springmill.transport.HttpHandler.Call;
@@ -53,6 +49,7 @@
     private final WorkloadBroadcast broadcast;
     private final ImageLocationNotes imageLocations;
     private final JobEnds jobEnds;
+    private final WorkerReports workerReports;
 
     /** Empty unless the operators have switched the bounded history on. */
     private final Optional<HistoryMover> history;
@@ -94,6 +91,25 @@
         reconciliation =
                 new Reconciliation(fleet, timing, peers, metrics, this::wake, leadership::deposed);
         dispatcher = new CommandDispatcher(fleet, http, timing, reconciliation::accept);
+        workerReports =
+                new WorkerReports(
+                        fleet,
+                        reconciliation,
+                        dispatcher,
+                        directory,
+                        loop,
+                        timing,
+                        new WorkerReports.Term() {
+                            @Override
+                            public boolean rebuilt() {
+                                return rebuilt;
+                            }
+
+                            @Override
+                            public boolean closed() {
+                                return closed;
+                            }
+                        });
         Placement placement = new Placement(fleet, timing);
         rounds =
                 new Rounds(
@@ -199,41 +215,11 @@
     }
 
     private void rebuild(RoundLog.Rebuilt found) {
-        double now = loop.now();
-        List<JobRecord> active = new ArrayList<>();
-        for (JobRecord record : directory.all()) {
-            if (record.active()) {
-                active.add(record);
-            } else {
-                history.ifPresent(mover -> mover.ended(record));
-            }
-        }
-        active.sort(java.util.Comparator.comparingLong(JobRecord::version));
-        for (JobRecord record : active) {
-            Job job = new Job(record.submission(), record.version());
-            BitSet done = found.done().get(record.id());
-            if (done != null) {
-                job.markDone(done);
-            }
-            admit(job, false);
-        }
-        for (Claim claim : found.live()) {
-            Job known = clusterState.job(claim.task().job());
-            if (known == null && directory.get(claim.task().job()) == null) {
-                // A record is moved only once no claim of its job is left.
-                LOG.error("claim of {} although its record has been moved", claim.task());
-                continue;
-            }
-            Job job = known == null ? jobEnds.endedJob(claim.task().job()) : known;
-            Machine machine = fleet.machine(claim.machine());
-            Attempt attempt = new Attempt(claim, job, machine, now);
-            attempt.exposed(machine.token() - 1, 0);
-            clusterState.add(attempt);
-            attempt.transition(Attempt.State.UNKNOWN, now);
-            if (!job.active()) {
-                fleet.stop(attempt, 0);
-            }
-        }
+        ClusterRebuild rebuild = new ClusterRebuild(directory, clusterState, fleet, jobEnds, loop);
+        List<JobRecord> active = rebuild.activeJobs();
+        rebuild.endedJobs().forEach(record -> history.ifPresent(mover -> mover.ended(record)));
+        active.forEach(record -> admit(rebuild.job(record, found), false));
+        found.live().forEach(rebuild::adopt);
         rebuilt = true;
         LOG.info(
                 "term {}: {} active jobs, {} claims in {} rounds",
@@ -277,7 +263,9 @@
         }
         // Whoever holds the term, sure of it or not, may be the only one who knows where cancelled
         // tasks are.
-        cancelOverdue();
+        for (Machine machine : jobEnds.machinesWithOverdueTasks()) {
+            rentals.giveBack(machine, "a cancelled task on it cannot be stopped");
+        }
         if (!leadership.mayAnswer()) {
             return;
         }
@@ -325,22 +313,6 @@
         }
     }
 
-    /** A cancelled task that cannot be stopped in time goes with its machine. */
-    private void cancelOverdue() {
-        for (Job job : clusterState.jobs().values()) {
-            if (!job.active()
-                    && job.liveCount() > 0
-                    && loop.now() - job.endedAt() > timing.cancelDeleteS()) {
-                for (Attempt attempt : job.attempts()) {
-                    if (attempt.state() == Attempt.State.STOPPING) {
-                        rentals.giveBack(
-                                attempt.machine(), "a cancelled task on it cannot be stopped");
-                    }
-                }
-            }
-        }
-    }
-
     private void wake() {
         if (!closed && rebuilt) {
             rounds.request();
@@ -431,39 +403,7 @@
 
     /** Answers a worker's report. */
     void report(Call call, Report report) {
-        if (fleet.wasDeleted(report.machine())) {
-            // A late copy. The machine that it seemed to bring back was given work, which waited
-            // until it was missed.
-            call.reply(503, WorkerMessages.redirect(null), 0);
-            return;
-        }
-        Machine machine = fleet.machine(report);
-        if (!machine.isLatestReport(report)) {
-            // A late copy: whoever sent it waits no longer, and its answer must not count as a
-            // renewal.
-            call.reply(503, WorkerMessages.redirect(null), 0);
-            return;
-        }
-        if (rebuilt) {
-            reconciliation.accept(machine, report);
-        }
-        if (closed) {
-            call.reply(421, WorkerMessages.redirect(null), 0);
-            return;
-        }
-        machine.tookReport(report);
-        machine.answered(loop.now(), timing.leaseS());
-        List<Command> commands = rebuilt ? List.of() : directory.stopsFor(report);
-        if (rebuilt
-                && machine.commandsFailing()
-                && !machine.commandsInFlight
-                && report.session() == machine.session()) {
-            commands = dispatcher.due(machine);
-        }
-        call.reply(200, WorkerMessages.reportAnswer(machine.token(), commands), 0);
-        if (rebuilt) {
-            dispatcher.poke(machine);
-        }
+        workerReports.answer(call, report);
     }
 
     /** Phase and counts of an active job, as its leader knows them; null if it is not known. */
--- /dev/null
+++ b/src/main/java/org/springmill/control/coordination/WorkerReports.java
@@ -0,0 +1,82 @@
+package org.springmill.control.coordination;
+
+import java.util.List;
+import org.springmill.protocol.WorkerMessages;
+import org.springmill.protocol.WorkerMessages.Command;
+import org.springmill.protocol.WorkerMessages.Report;
+import org.springmill.transport.HttpHandler.Call;
+import org.springmill.transport.Loop;
+
+/** Answers the reports of workers for a leader, from the first moment of its term. */
+final class WorkerReports {
+    private final Fleet fleet;
+    private final Reconciliation reconciliation;
+    private final CommandDispatcher dispatcher;
+    private final JobDirectory directory;
+    private final Loop loop;
+    private final Timing timing;
+    private final Term term;
+
+    /** How far the leader's term is. */
+    interface Term {
+        /** Whether what earlier leaders committed has been taken in. */
+        boolean rebuilt();
+
+        /** Whether the term has ended. */
+        boolean closed();
+    }
+
+    WorkerReports(
+            Fleet fleet,
+            Reconciliation reconciliation,
+            CommandDispatcher dispatcher,
+            JobDirectory directory,
+            Loop loop,
+            Timing timing,
+            Term term) {
+        this.fleet = fleet;
+        this.reconciliation = reconciliation;
+        this.dispatcher = dispatcher;
+        this.directory = directory;
+        this.loop = loop;
+        this.timing = timing;
+        this.term = term;
+    }
+
+    /** Answers a worker's report. */
+    void answer(Call call, Report report) {
+        if (fleet.wasDeleted(report.machine())) {
+            // A late copy. The machine that it seemed to bring back was given work, which waited
+            // until it was missed.
+            call.reply(503, WorkerMessages.redirect(null), 0);
+            return;
+        }
+        Machine machine = fleet.machine(report);
+        if (!machine.isLatestReport(report)) {
+            // A late copy: whoever sent it waits no longer, and its answer must not count as a
+            // renewal.
+            call.reply(503, WorkerMessages.redirect(null), 0);
+            return;
+        }
+        if (term.rebuilt()) {
+            reconciliation.accept(machine, report);
+        }
+        if (term.closed()) {
+            call.reply(421, WorkerMessages.redirect(null), 0);
+            return;
+        }
+        machine.tookReport(report);
+        machine.answered(loop.now(), timing.leaseS());
+        List<Command> commands = term.rebuilt() ? List.of() : directory.stopsFor(report);
+        if (term.rebuilt()
+                && machine.commandsFailing()
+                && !machine.commandsInFlight
+                && report.session() == machine.session()) {
+            commands = dispatcher.due(machine);
+        }
+        call.reply(200, WorkerMessages.reportAnswer(machine.token(), commands), 0);
+        if (term.rebuilt()) {
+            dispatcher.poke(machine);
+        }
+    }
+}
