Admission: whoever is refused in a burst is told when to come back by the drain rate

Change: a refusal for now stays that refusal where it cannot be made certain that the job was not accepted before: a 503 denies nothing. What was given up on is answered in the same way.

--- a/src/main/java/org/springmill/control/admission/AdmissionControl.java
+++ b/src/main/java/org/springmill/control/admission/AdmissionControl.java
@@ -100,10 +100,23 @@
         return freed > 0 ? excessBytes / freed : UNKNOWN_DRAIN_SECONDS;
     }
 
+    /**
+     * The refusal of a job that was taken and whose turn did not come in time.
+     *
+     * @param queueSeconds how long its record would wait for the state service now
+     */
+    public AdmissionRefusal givenUp(double queueSeconds) {
+        return count(AdmissionReason.QUEUE, Math.max(maxQueueSeconds, queueSeconds));
+    }
+
     private Optional<AdmissionRefusal> refuse(AdmissionReason reason, double drainSeconds) {
+        return Optional.of(count(reason, drainSeconds));
+    }
+
+    private AdmissionRefusal count(AdmissionReason reason, double drainSeconds) {
         refused.merge(reason, 1, Integer::sum);
         log(reason);
-        return Optional.of(new AdmissionRefusal(reason, retryAfter.seconds(drainSeconds)));
+        return new AdmissionRefusal(reason, retryAfter.seconds(drainSeconds));
     }
 
     private void log(AdmissionReason reason) {
--- a/src/main/java/org/springmill/control/coordination/SubmissionHandler.java
+++ b/src/main/java/org/springmill/control/coordination/SubmissionHandler.java
@@ -158,6 +158,27 @@
     @FunctionalInterface
     private interface RefusalAnswer {
         void reply(Call call);
+
+        /** The same while it is not certain that the job was not accepted before. */
+        default void replyUncertain(Call call) {
+            JobAnswers.unavailable(call, JobAnswers.STATE_SERVICE_SILENT);
+        }
+    }
+
+    /**
+     * For a job that cannot be taken now. In an overload there are more to be looked up than
+     * lookups are allowed; sent away for a second only, their users came back as a wave.
+     */
+    private record NotNow(AdmissionRefusal refusal) implements RefusalAnswer {
+        @Override
+        public void reply(Call call) {
+            JobAnswers.refused(call, refusal);
+        }
+
+        @Override
+        public void replyUncertain(Call call) {
+            reply(call);
+        }
     }
 
     private static RefusalAnswer impossible(String reason) {
@@ -173,7 +194,7 @@
         if (!unknown(submitted)) {
             answerKnown(submitted.call(), submitted.job().id());
         } else if (!current) {
-            JobAnswers.unavailable(submitted.call(), JobAnswers.STATE_SERVICE_SILENT);
+            answer.replyUncertain(submitted.call());
         } else {
             String id = submitted.job().id();
             directory.findMoved(id, lookup -> refuse(submitted.call(), lookup, answer));
@@ -182,8 +203,11 @@
 
     /** A repeated submission of an accepted job is never refused, however long ago it ended. */
     private static void refuse(Call call, Lookup lookup, RefusalAnswer answer) {
-        JobAnswers.lookedUp(
-                call, lookup, job -> JobAnswers.phase(call, job), () -> answer.reply(call));
+        switch (lookup.outcome()) {
+            case FOUND -> JobAnswers.phase(call, lookup.job());
+            case ABSENT -> answer.reply(call);
+            case UNAVAILABLE -> answer.replyUncertain(call);
+        }
     }
 
     private boolean unknown(Pending submitted) {
@@ -219,7 +243,7 @@
         if (refusal.isPresent()) {
             // A repeated submission is no new work, and its user may be the one whose first answer
             // was lost.
-            refuseAfterBarrier(submitted, call -> JobAnswers.refused(call, refusal.get()));
+            refuseAfterBarrier(submitted, new NotNow(refusal.get()));
             return;
         }
         pending.add(submitted);
@@ -266,11 +290,22 @@
             case COMMITTED -> created(submitted, result.revision());
             case REFUSED -> refused(submitted, result);
             case TOO_LARGE -> decideAfterBarrier(submitted);
-            case NOT_NOW, UNKNOWN ->
+            case NOT_NOW -> notSent(submitted);
+            case UNKNOWN ->
                     JobAnswers.unavailable(submitted.call(), JobAnswers.STATE_SERVICE_SILENT);
         }
     }
 
+    /** Its turn did not come in time, or the state service serves nothing. */
+    private void notSent(Pending submitted) {
+        if (store.reachable()) {
+            AdmissionRefusal refusal = admission.givenUp(expectedWaitSeconds());
+            JobAnswers.refused(submitted.call(), refusal);
+        } else {
+            JobAnswers.unavailable(submitted.call(), JobAnswers.STATE_SERVICE_SILENT);
+        }
+    }
+
     /**
      * Whether the same write is to be sent again: it was not executed, or may have been. It is
      * applied once at most.
--- a/src/test/java/org/springmill/control/coordination/AdmissionTest.java
+++ b/src/test/java/org/springmill/control/coordination/AdmissionTest.java
@@ -297,6 +297,37 @@
         assertEquals(0, users.gaveUp());
     }
 
+    /** More are refused than can be looked up; told to come back in a second they were a wave. */
+    @Test
+    void everyoneWhoIsRefusedInABurstIsToldWhenToComeBackByTheDrainRate() {
+        startCluster(1);
+        List<Reply> refused = new ArrayList<>();
+        for (int i = 0; i < 600; i++) {
+            String body = job(i % 2 == 0 ? "red" : "blue", "normal", 0).toString();
+            cluster.user(
+                    i % CONTROLLERS,
+                    "POST",
+                    "/submissions",
+                    body,
+                    5,
+                    reply -> {
+                        if (reply.status() == 503) {
+                            refused.add(reply);
+                        }
+                    });
+        }
+        cluster.run(5);
+        assertTrue(refused.size() > 300, refused.size() + " refused");
+        long early = refused.stream().filter(reply -> reply.retryAfterS() < 2).count();
+        assertEquals(0, early, "told to come back within a second");
+        long reasons = refused.stream().map(AdmissionTest::textOf).distinct().count();
+        assertEquals(1, reasons, "one reason for all");
+    }
+
+    private static String textOf(Reply reply) {
+        return new String(reply.body(), StandardCharsets.UTF_8);
+    }
+
     /** A slow state service: what cannot be committed while its user waits is refused at once. */
     @Test
     void whileTheStateServiceIsSlowSubmissionsAreRefusedRatherThanHeld() {
