Tests: the operators' settings of a simulated cluster are copied in one place

Need: three methods of SimOptions copied all seven fields, each to change one. Change: one private copy serves them.

--- a/src/test/java/org/springmill/sim/SimOptions.java
+++ b/src/test/java/org/springmill/sim/SimOptions.java
@@ -38,43 +38,30 @@
 
     /** Idle machines are kept for so many boots. */
     public SimOptions withIdleBoots(double boots) {
-        OperatorSettings o = operator;
-        return withOperator(
-                new OperatorSettings(
-                        boots,
-                        o.bootPatience(),
-                        o.reserve(),
-                        o.pendingSubmissions(),
-                        o.historyRetentionS(),
-                        o.maxWaitS(),
-                        o.leaderShare()));
+        return with(boots, operator.historyRetentionS(), operator.maxWaitS());
     }
 
     /** All controllers keep the bounded history with that retention, or do not take part in it. */
     public SimOptions withHistoryRetention(OptionalDouble seconds) {
-        OperatorSettings o = operator;
-        return withOperator(
-                new OperatorSettings(
-                        o.idleBoots(),
-                        o.bootPatience(),
-                        o.reserve(),
-                        o.pendingSubmissions(),
-                        seconds,
-                        o.maxWaitS(),
-                        o.leaderShare()));
+        return with(operator.idleBoots(), seconds, operator.maxWaitS());
     }
 
     /** Submissions are accepted only into queues whose expected wait is no longer than that. */
     public SimOptions withMaxWait(double seconds) {
-        OperatorSettings o = operator;
+        OptionalDouble maxWait = OptionalDouble.of(seconds);
+        return with(operator.idleBoots(), operator.historyRetentionS(), maxWait);
+    }
+
+    private SimOptions with(
+            double idleBoots, OptionalDouble historyRetention, OptionalDouble maxWait) {
         return withOperator(
                 new OperatorSettings(
-                        o.idleBoots(),
-                        o.bootPatience(),
-                        o.reserve(),
-                        o.pendingSubmissions(),
-                        o.historyRetentionS(),
-                        OptionalDouble.of(seconds),
-                        o.leaderShare()));
+                        idleBoots,
+                        operator.bootPatience(),
+                        operator.reserve(),
+                        operator.pendingSubmissions(),
+                        historyRetention,
+                        maxWait,
+                        operator.leaderShare()));
     }
 }
