A team whose guarantee is 0 has none

Cause: 0 in the settings was read as a guarantee without a bound. Whatever a guest team ran counted as guaranteed: it was served before other teams' work of its priority, had their work above the guarantee stopped for it, and never gave way to a team that was owed its own. Change: Settings.Team.hasGuarantee; without one nothing is guaranteed, and everything the team runs is above it.

--- a/src/main/java/org/springmill/control/coordination/ClusterState.java
+++ b/src/main/java/org/springmill/control/coordination/ClusterState.java
@@ -69,15 +69,21 @@
          * Whether the team runs above its guarantee, so that it may have to give something back.
          */
         boolean aboveGuarantee() {
-            return exceedsGuaranteeWithout(0, 0);
+            return team.hasGuarantee() ? exceedsGuaranteeWithout(0, 0) : runsAnything();
+        }
+
+        private boolean runsAnything() {
+            return cpus - leavingCpus > Resources.ROUNDING
+                    || gpus - leavingGpus > Resources.ROUNDING;
         }
 
         /**
          * Whether it would still have all of its guarantee if so much more of what it runs were
-         * stopped.
+         * stopped. A team without a guarantee has all of it in any case.
          */
         boolean exceedsGuaranteeWithout(double lessCpus, double lessGpus) {
-            return (team.cpus() > 0
+            return !team.hasGuarantee()
+                    || (team.cpus() > 0
                             && cpus - leavingCpus - lessCpus > team.cpus() - Resources.ROUNDING)
                     || (team.gpus() > 0
                             && gpus - leavingGpus - lessGpus > team.gpus() - Resources.ROUNDING);
@@ -98,7 +104,7 @@
         }
 
         int guaranteedRoomFor(Submission spec) {
-            return room(spec, team.cpus(), team.gpus(), cpus, gpus);
+            return team.hasGuarantee() ? room(spec, team.cpus(), team.gpus(), cpus, gpus) : 0;
         }
 
         private static int room(
--- a/src/main/java/org/springmill/protocol/Settings.java
+++ b/src/main/java/org/springmill/protocol/Settings.java
@@ -44,9 +44,14 @@
             return within(usedCpus, cpusMax) && within(usedGpus, gpusMax);
         }
 
+        /** Whether the team is guaranteed anything at all. */
+        public boolean hasGuarantee() {
+            return cpus > 0 || gpus > 0;
+        }
+
         /** Whether use of these amounts is guaranteed to the team. */
         public boolean withinGuarantee(double usedCpus, double usedGpus) {
-            return within(usedCpus, cpus) && within(usedGpus, gpus);
+            return hasGuarantee() && within(usedCpus, cpus) && within(usedGpus, gpus);
         }
 
         private static boolean within(double used, double bound) {
--- a/src/test/java/org/springmill/sim/SimSettings.java
+++ b/src/test/java/org/springmill/sim/SimSettings.java
@@ -19,6 +19,7 @@
     static final String STATE_SERVICE = "state:1";
     static final String CLOUD = "cloud:1";
     static final List<String> ZONES = List.of("a", "b");
+    static final String TEAM_WITHOUT_GUARANTEE = "guest";
     static final String USER = "user";
     static final String LOAD_BALANCER = "balancer";
 
@@ -77,7 +78,8 @@
                 1,
                 List.of(
                         new Settings.Team("red", 0, 0, 8, 16),
-                        new Settings.Team("blue", 0, 0, 8, 64)),
+                        new Settings.Team("blue", 0, 0, 8, 64),
+                        new Settings.Team(TEAM_WITHOUT_GUARANTEE, 0, 0, 0, 0)),
                 List.of(),
                 new Settings.Workers(REPORT_SECONDS, LEASE_SECONDS, CANCEL_SECONDS),
                 stateLimits,
