--- a/src/main/java/org/springmill/control/coordination/Bin.java
+++ b/src/main/java/org/springmill/control/coordination/Bin.java
@@ -26,6 +26,9 @@
     private double freeMemoryGb;
     private boolean used;
 
+    /** What was packed here of tasks that are expected to arrive. */
+    private Resources expected = Resources.NONE;
+
     private Bin(
             MachineKind kind,
             Machine machine,
@@ -76,6 +79,16 @@
         return machine == null;
     }
 
+    /** Notes that a task which was packed here has yet to arrive. */
+    void noteExpected(Submission spec) {
+        expected = expected.plus(spec);
+    }
+
+    /** What was packed here of tasks that are expected to arrive. */
+    Resources expected() {
+        return expected;
+    }
+
     /** Whether anything was packed here. */
     boolean isUsed() {
         return used;
--- /dev/null
+++ b/src/main/java/org/springmill/control/coordination/BootTimes.java
@@ -0,0 +1,81 @@
+package org.springmill.control.coordination;
+
+import java.util.HashMap;
+import java.util.Map;
+import org.springmill.protocol.CloudMessages.MachineType;
+
+/**
+ * How long machines of each type take to boot in each zone: mean and mean deviation of what was
+ * measured, smoothed as TCP does for its round trips (RFC 6298). Known anew in each term.
+ */
+final class BootTimes {
+    /**
+     * Most machines are up within one and a half nominal boot times. Before that none is late,
+     * however quick the last ones were: boots that were quick for a while are normal again later.
+     */
+    private static final double LEAST_BOOTS = 1.6;
+
+    /** None is waited for much longer than operators are ready to wait. */
+    private static final double MAX_PATIENCES = 2;
+
+    /** Of the first time that is measured: the spread that the cloud names, and some more. */
+    private static final double FIRST_DEVIATION = 1 / 8.0;
+
+    private static final double MEAN_GAIN = 1 / 8.0;
+    private static final double DEVIATION_GAIN = 1 / 4.0;
+    private static final double DEVIATIONS = 4;
+
+    private final double patienceBoots;
+
+    /** By type and zone, and by type alone. */
+    private final Map<String, Estimate> estimates = new HashMap<>();
+
+    private record Estimate(double meanS, double deviationS) {
+        Estimate with(double seconds) {
+            double error = seconds - meanS;
+            return new Estimate(
+                    meanS + MEAN_GAIN * error,
+                    deviationS + DEVIATION_GAIN * (Math.abs(error) - deviationS));
+        }
+    }
+
+    /**
+     * @param patienceBoots how many nominal boot times operators are ready to wait
+     */
+    BootTimes(double patienceBoots) {
+        this.patienceBoots = patienceBoots;
+    }
+
+    /** Notes that a machine came up for the first time. */
+    void cameUp(Machine machine, double now) {
+        double seconds = now - machine.rentedAt();
+        add(key(machine.type(), machine.zone()), seconds);
+        add(machine.type().name(), seconds);
+    }
+
+    private void add(String key, double seconds) {
+        Estimate known = estimates.get(key);
+        estimates.put(
+                key,
+                known == null
+                        ? new Estimate(seconds, seconds * FIRST_DEVIATION)
+                        : known.with(seconds));
+    }
+
+    /**
+     * After how long a machine that has not come up is late. Where none has come up in its zone,
+     * other zones tell how long its type takes.
+     */
+    double lateAfterSeconds(MachineType type, String zone) {
+        Estimate ofType = estimates.get(type.name());
+        Estimate known = estimates.getOrDefault(key(type, zone), ofType);
+        double measured = known == null ? 0 : known.meanS() + DEVIATIONS * known.deviationS();
+        double most = MAX_PATIENCES * patienceBoots * type.bootS();
+        return Math.min(most, Math.max(LEAST_BOOTS * type.bootS(), measured));
+    }
+
+    /** Spot machines boot like others. */
+    static String key(MachineType type, String zone) {
+        return type.name() + '/' + zone;
+    }
+}
--- a/src/main/java/org/springmill/control/coordination/ClusterState.java
+++ b/src/main/java/org/springmill/control/coordination/ClusterState.java
@@ -61,6 +61,11 @@
             heldGpus = 0;
         }
 
+        /** Whether the team is guaranteed anything at all. */
+        boolean hasGuarantee() {
+            return team.hasGuarantee();
+        }
+
         boolean guaranteedFor(Submission spec) {
             return team.withinGuarantee(cpus + spec.cpus(), gpus + spec.gpus());
         }
--- a/src/main/java/org/springmill/control/coordination/Controller.java
+++ b/src/main/java/org/springmill/control/coordination/Controller.java
@@ -202,6 +202,7 @@
         addLeaderGauge("tasks_waiting", Leader::waitingTasks);
         addLeaderGauge("tasks_running", Leader::runningTasks);
         addLeaderGauge("machines_up", Leader::machinesUp);
+        addLeaderGauge("machines_late", Leader::machinesLate);
         addLeaderGauge("rounds_stored", Leader::roundsKept);
     }
 
--- a/src/main/java/org/springmill/control/coordination/DeletionReason.java
+++ b/src/main/java/org/springmill/control/coordination/DeletionReason.java
@@ -7,6 +7,7 @@
     UNRESPONSIVE("it neither reports nor answers"),
     NEVER_REPORTED("its worker is not heard of"),
     NEVER_BOOTED("it never came up"),
+    REPLACED("it is late to come up, and no longer needed"),
     NO_LONGER_LISTED("it is no longer listed"),
     WORKER_LOST("its worker is silent"),
     IGNORES_LEADER("it does not hear this leader"),
--- a/src/main/java/org/springmill/control/coordination/DemandPacking.java
+++ b/src/main/java/org/springmill/control/coordination/DemandPacking.java
@@ -1,6 +1,8 @@
 package org.springmill.control.coordination;
 
+import java.util.HashMap;
 import java.util.List;
+import java.util.Map;
 import java.util.Optional;
 import java.util.function.Predicate;
 import org.springmill.protocol.CloudMessages;
@@ -30,17 +32,25 @@
      */
     private static final double PRICE_PER_MACHINE_IN_ZONE = 1e-4;
 
+    /** More than any machine costs: kinds that do not come up are the last choice. */
+    private static final double PRICE_IF_FAILING = 1e6;
+
     private final Iterable<MachineType> types;
     private final List<String> zones;
     private final Predicate<MachineKind> rentable;
+    private final Predicate<MachineKind> failing;
     private final ZoneCounts machinesPerZone;
     private final List<Bin> bins;
     private int planned;
 
+    /** The first bin that may have room for a shape: those before it were found to have none. */
+    private final Map<TaskShape, Integer> firstOpenBin = new HashMap<>();
+
     /**
      * @param types all types that the cloud offers
      * @param zones all zones of the deployment
      * @param rentable whether a kind of machine may be rented now
+     * @param failing whether machines of a kind do not come up at present
      * @param machinesPerZone all machines of the fleet
      * @param bins the free resources of the fleet in the order in which they are to be filled;
      *     planned machines are added at the end
@@ -49,11 +59,13 @@
             Iterable<MachineType> types,
             List<String> zones,
             Predicate<MachineKind> rentable,
+            Predicate<MachineKind> failing,
             ZoneCounts machinesPerZone,
             List<Bin> bins) {
         this.types = types;
         this.zones = zones;
         this.rentable = rentable;
+        this.failing = failing;
         this.machinesPerZone = machinesPerZone;
         this.bins = bins;
     }
@@ -71,12 +83,12 @@
     /** Finds room for tasks or plans machines for them, as far as some may be rented. */
     void pack(PackingRequest request) {
         // What has no room for one task has none for the next: each bin is looked at once for all.
-        int binIndex = 0;
+        int binIndex = request.shape().map(shape -> firstOpenBin.getOrDefault(shape, 0)).orElse(0);
         int left = request.tasks();
         while (left > 0) {
             ZoneCounts tasksPerZone = request.tasksPerZone().get();
-            if (binIndex == bins.size() && !plan(request.spec(), left, tasksPerZone)) {
-                return;
+            if (binIndex == bins.size() && !plan(request, left, tasksPerZone)) {
+                break;
             }
             if (pack(request, tasksPerZone, bins.get(binIndex))) {
                 left--;
@@ -84,6 +96,8 @@
                 binIndex++;
             }
         }
+        int firstOpen = binIndex;
+        request.shape().ifPresent(shape -> firstOpenBin.put(shape, firstOpen));
     }
 
     /**
@@ -112,15 +126,21 @@
     }
 
     private static boolean pack(PackingRequest request, ZoneCounts tasksPerZone, Bin bin) {
-        return !bin.isExcluded(request.excluded()) && bin.pack(request.spec(), tasksPerZone);
+        boolean packed =
+                !bin.isExcluded(request.excluded()) && bin.pack(request.spec(), tasksPerZone);
+        if (packed && request.expected()) {
+            bin.noteExpected(request.spec());
+        }
+        return packed;
     }
 
     /** Plans one more machine; false if none may be rented for such tasks. */
-    private boolean plan(Submission spec, int tasks, ZoneCounts tasksPerZone) {
+    private boolean plan(PackingRequest request, int tasks, ZoneCounts tasksPerZone) {
         if (planned == MAX_PLANNED) {
             return false;
         }
-        Optional<MachineKind> kind = cheapest(spec, tasks, tasksPerZone);
+        Optional<MachineKind> kind =
+                cheapest(request.spec(), tasks, tasksPerZone, request.maxPriceRatio());
         if (kind.isEmpty()) {
             return false;
         }
@@ -130,11 +150,13 @@
     }
 
     private boolean isRentable(Submission spec, int tasks) {
-        return cheapest(spec, tasks, new ZoneCounts()).isPresent();
+        return cheapest(spec, tasks, new ZoneCounts(), Double.POSITIVE_INFINITY).isPresent();
     }
 
     /** The kind of machine that runs so many tasks at the least price for each. */
-    private Optional<MachineKind> cheapest(Submission spec, int tasks, ZoneCounts tasksPerZone) {
+    private Optional<MachineKind> cheapest(
+            Submission spec, int tasks, ZoneCounts tasksPerZone, double maxPriceRatio) {
+        double maxPrice = maxPriceRatio * leastPrice(spec, tasks);
         Offer best = Offer.NONE;
         for (MachineType type : types) {
             if (!type.fits(spec)) {
@@ -145,17 +167,35 @@
                 if (!isZoneOpen(zone, spec, tasksPerZone)) {
                     continue;
                 }
-                if (spec.spot()) {
-                    MachineKind spot = new MachineKind(type, zone, true);
-                    best = better(best, offer(spot, tasksOnMachine, tasksPerZone));
+                for (MachineKind kind : kinds(type, zone, spec)) {
+                    if (kind.price() / tasksOnMachine <= maxPrice) {
+                        best = better(best, offer(kind, tasksOnMachine, tasksPerZone));
+                    }
                 }
-                MachineKind ordinary = new MachineKind(type, zone, false);
-                best = better(best, offer(ordinary, tasksOnMachine, tasksPerZone));
             }
         }
         return Optional.ofNullable(best.kind());
     }
 
+    private static List<MachineKind> kinds(MachineType type, String zone, Submission spec) {
+        MachineKind ordinary = new MachineKind(type, zone, false);
+        return spec.spot()
+                ? List.of(new MachineKind(type, zone, true), ordinary)
+                : List.of(ordinary);
+    }
+
+    /** The least that a task costs on any machine, whether one can be rented now or not. */
+    private double leastPrice(Submission spec, int tasks) {
+        double least = Double.POSITIVE_INFINITY;
+        for (MachineType type : types) {
+            if (type.fits(spec)) {
+                double price = type.price(spec.spot()) / Math.min(tasks, type.holds(spec));
+                least = Math.min(least, price);
+            }
+        }
+        return least;
+    }
+
     private static boolean isZoneOpen(String zone, Submission spec, ZoneCounts tasksPerZone) {
         boolean allowed = spec.zone() == null || spec.zone().equals(zone);
         return allowed && tasksPerZone.count(zone) < spec.perZone();
@@ -165,7 +205,8 @@
         double price =
                 kind.price() / tasksOnMachine
                         + PRICE_PER_TASK_IN_ZONE * tasksPerZone.count(kind.zone())
-                        + PRICE_PER_MACHINE_IN_ZONE * machinesPerZone.count(kind.zone());
+                        + PRICE_PER_MACHINE_IN_ZONE * machinesPerZone.count(kind.zone())
+                        + (failing.test(kind) ? PRICE_IF_FAILING : 0);
         return new Offer(kind, price);
     }
 
--- a/src/main/java/org/springmill/control/coordination/Fleet.java
+++ b/src/main/java/org/springmill/control/coordination/Fleet.java
@@ -37,19 +37,25 @@
     /** When the deletion of each machine was confirmed, the earliest first. */
     private final Map<String, Double> deletedMachines = new LinkedHashMap<>();
 
+    private final BootTimes bootTimes;
     private ImageLocations storedLocations = new ImageLocations();
 
+    /**
+     * @param bootPatience how many boot times operators are ready to wait for a machine
+     */
     Fleet(
             ClusterState clusterState,
             MachineTypeCatalog catalog,
             Loop loop,
             Timing timing,
-            long term) {
+            long term,
+            double bootPatience) {
         this.clusterState = clusterState;
         this.catalog = catalog;
         this.loop = loop;
         this.term = term;
         this.reportSeconds = timing.reportS();
+        this.bootTimes = new BootTimes(bootPatience);
         rememberDeletedSeconds = LEASES_TO_REMEMBER_DELETED * timing.leaseS();
     }
 
@@ -144,6 +150,11 @@
         return catalog;
     }
 
+    /** How long machines took to boot in this term. */
+    BootTimes bootTimes() {
+        return bootTimes;
+    }
+
     /** Seconds on the steady clock. */
     double now() {
         return loop.now();
--- a/src/main/java/org/springmill/control/coordination/Headroom.java
+++ b/src/main/java/org/springmill/control/coordination/Headroom.java
@@ -32,7 +32,7 @@
 
     /** Packs the tasks that room is to be kept for. */
     void reserve(DemandPacking packing, double now) {
-        double bootSeconds = slowestBootSeconds();
+        double bootSeconds = fleet.catalog().slowestBootSeconds();
         double failoverBudget = FAILOVER_COST_SHARE * fleetCost();
         for (Submission job : demand.urgent(bootSeconds)) {
             int expected = demand.expected(job.jobClass(), bootSeconds, now);
@@ -100,12 +100,4 @@
         }
         return cost;
     }
-
-    private double slowestBootSeconds() {
-        double slowest = 0;
-        for (MachineType type : fleet.catalog().all()) {
-            slowest = Math.max(slowest, type.bootS());
-        }
-        return slowest;
-    }
 }
--- a/src/main/java/org/springmill/control/coordination/IdleMachines.java
+++ b/src/main/java/org/springmill/control/coordination/IdleMachines.java
@@ -3,16 +3,21 @@
 import java.util.List;
 import org.springmill.protocol.Settings;
 
-/** Deletes machines that have been idle for some time and that nothing is expected to need. */
+/**
+ * Deletes machines that have been idle for some time and that nothing is expected to need, and late
+ * ones whose replacements have come up first.
+ */
 final class IdleMachines {
     /** By the protocol a deleted machine costs at least so much of its time. */
     private static final double LEAST_CHARGED_SECONDS = 60;
 
     private final MachineDeletion deletion;
+    private final LateMachines lateMachines;
     private final Settings settings;
 
-    IdleMachines(MachineDeletion deletion, Settings settings) {
+    IdleMachines(MachineDeletion deletion, LateMachines lateMachines, Settings settings) {
         this.deletion = deletion;
+        this.lateMachines = lateMachines;
         this.settings = settings;
     }
 
@@ -25,6 +30,16 @@
                 deletion.delete(bin.machine(), DeletionReason.IDLE);
             }
         }
+        if (bins.stream().noneMatch(IdleMachines::isWaitedFor)) {
+            lateMachines
+                    .replaced()
+                    .forEach(machine -> deletion.delete(machine, DeletionReason.REPLACED));
+        }
+    }
+
+    /** Whether something is to run on a machine that is not up yet. */
+    private static boolean isWaitedFor(Bin bin) {
+        return bin.isUsed() && (bin.isPlanned() || bin.activity() == Bin.Activity.BOOTING);
     }
 
     private boolean isIdleForLong(Machine machine, double now) {
--- a/src/main/java/org/springmill/control/coordination/Job.java
+++ b/src/main/java/org/springmill/control/coordination/Job.java
@@ -3,9 +3,7 @@
 import java.util.ArrayDeque;
 import java.util.ArrayList;
 import java.util.BitSet;
-import java.util.HashSet;
 import java.util.List;
-import java.util.Set;
 import org.agrona.collections.Int2ObjectHashMap;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
@@ -26,13 +24,12 @@
     private final BitSet done = new BitSet();
     private final Int2ObjectHashMap<Attempt> live = new Int2ObjectHashMap<>();
     private final ArrayDeque<Integer> returned = new ArrayDeque<>();
-    private final Set<String> failedOn = new HashSet<>();
+    private final JobFailures failures;
     private int fresh;
     private State state;
     private Phase phase = Phase.QUEUED;
     private long version;
     private double endedAt;
-    private double notBefore;
     private boolean ending;
 
     /** How far a job is on its way. Its tasks have states of their own. */
@@ -54,6 +51,7 @@
 
     Job(Submission spec, long version) {
         this.spec = spec;
+        this.failures = new JobFailures(spec.id());
         this.state = spec.dependencies().isEmpty() ? State.ELIGIBLE : State.WAITING;
         this.accepted = version;
         this.arrival = version;
@@ -275,30 +273,23 @@
         return here;
     }
 
-    double notBefore() {
-        return notBefore;
+    /** What its failed tasks say of the job. */
+    JobFailures failures() {
+        return failures;
     }
 
-    /**
-     * A job that fails on one machine after the other is at fault itself and waits longer each
-     * time.
-     */
-    void failedOn(String machine, double now, double stepS) {
-        failedOn.add(machine);
-        if (failedOn.size() > 1) {
-            notBefore = now + stepS * Math.min(32, 1 << Math.min(5, failedOn.size() - 2));
-        }
-    }
-
-    boolean hasFailedOn(String machine) {
-        return failedOn.contains(machine);
+    /** Whether a task waits, and may be started now. */
+    boolean mayStartAnother() {
+        return nextTask() >= 0 && live.size() < mostAtOnce();
     }
 
-    int machinesFailedOn() {
-        return failedOn.size();
+    /** How many of its waiting tasks may be started now. */
+    int startable() {
+        return Math.min(waiting(), Math.max(0, mostAtOnce() - live.size()));
     }
 
-    void succeeded() {
-        failedOn.clear();
+    /** All members of a gang start together, and all replicas of a service are owed. */
+    private int mostAtOnce() {
+        return spec.gang() || spec.service() ? Integer.MAX_VALUE : failures.mostAtOnce();
     }
 }
--- a/src/main/java/org/springmill/control/coordination/Leader.java
+++ b/src/main/java/org/springmill/control/coordination/Leader.java
@@ -80,7 +80,14 @@
         this.peers = peers;
         this.catalog = catalog;
         clusterState = new ClusterState(settings);
-        fleet = new Fleet(clusterState, catalog, loop, timing, leadership.term());
+        fleet =
+                new Fleet(
+                        clusterState,
+                        catalog,
+                        loop,
+                        timing,
+                        leadership.term(),
+                        settings.operator().bootPatience());
         log =
                 new RoundLog(
                         store,
@@ -426,6 +433,10 @@
         return fleet.machines().stream().filter(m -> m.state() == Machine.State.UP).count();
     }
 
+    int machinesLate() {
+        return rentals.machinesLate();
+    }
+
     int recordsToMove() {
         return history.map(HistoryMover::waiting).orElse(0);
     }
--- a/src/main/java/org/springmill/control/coordination/Machine.java
+++ b/src/main/java/org/springmill/control/coordination/Machine.java
@@ -21,6 +21,9 @@
     private static final Logger LOG = LoggerFactory.getLogger(Machine.class);
     private static final int COUNTER_BITS = 20;
 
+    /** A machine on which so many jobs failed in a row is taken to be faulty. */
+    private static final int FAULTY_AFTER_JOBS = 2;
+
     enum State {
         /** Rented or listed; its worker has not reported to this leader. */
         EXPECTED,
@@ -36,7 +39,7 @@
     private final String name;
     private final Map<TaskId, Attempt> attempts = new LinkedHashMap<>();
     private final ImageCache images = new ImageCache();
-    private final Set<String> errorJobs = new HashSet<>();
+    private final Set<Job> failedJobs = new HashSet<>();
     private State state = State.EXPECTED;
     private String address = "";
     private MachineType type;
@@ -52,6 +55,8 @@
     private double ownTokenSeen = Double.POSITIVE_INFINITY;
     private double lastHeard = Double.NEGATIVE_INFINITY;
     private double firstSeen;
+    private double rentedAt;
+    private boolean listedAsRunning;
     private double listedAt = Double.NEGATIVE_INFINITY;
     private double idleSince;
     private double noticeAt = Double.POSITIVE_INFINITY;
@@ -59,13 +64,13 @@
     private double avoidUntil = Double.NEGATIVE_INFINITY;
     private List<TaskReport> reported = List.of();
     private boolean allReportedKnown = true;
-    private boolean quarantined;
     private boolean draining;
     private final Set<Job> keptFor = new HashSet<>();
     private double keptUntil;
     private double usedCpus;
     private double usedGpus;
     private double usedMemory;
+    private Resources headroom = Resources.NONE;
 
     // The sending of commands; see CommandDispatcher.
     boolean commandsInFlight;
@@ -77,6 +82,7 @@
         this.name = name;
         this.token = (term << COUNTER_BITS) + 1;
         this.firstSeen = now;
+        this.rentedAt = now;
         this.idleSince = now;
     }
 
@@ -151,10 +157,30 @@
         return firstSeen;
     }
 
+    /** When it was rented; no later than when this leader first heard of it. */
+    double rentedAt() {
+        return rentedAt;
+    }
+
+    /** Whether it has not come up as far as the cloud's lists and its worker tell. */
+    boolean isBooting() {
+        return state == State.EXPECTED && !listedAsRunning && attempts.isEmpty();
+    }
+
     void listed(double now) {
         listedAt = now;
     }
 
+    /** Notes that a list tells how long ago it had been rented. */
+    void rentedAt(double time) {
+        rentedAt = Math.min(rentedAt, time);
+    }
+
+    /** Notes that a list names it as up: its silence is no sign of a slow boot. */
+    void listedAsRunning() {
+        listedAsRunning = true;
+    }
+
     double listedAt() {
         return listedAt;
     }
@@ -219,6 +245,11 @@
         if (termOf(seenToken) == termOf(token)) {
             ownTokenSeen = Math.min(ownTokenSeen, now);
         }
+        if (state == State.EXPECTED) {
+            // Commands of a new leader failed while it booted. Counted against it once it was up,
+            // they had another machine rented in its place.
+            commandsFailing = false;
+        }
         lastHeard = now;
         reported = report.tasks();
         allReportedKnown = false;
@@ -302,12 +333,15 @@
         avoidUntil = Math.max(avoidUntil, time);
     }
 
+    /**
+     * Whether the machine is at fault for what failed here: several jobs did, none has succeeded
+     * since, and they are not known to fail everywhere. It is judged anew each time, for a job may
+     * only later be found to be at fault itself.
+     */
     boolean quarantined() {
-        return quarantined;
-    }
-
-    void quarantine() {
-        quarantined = true;
+        return !failedJobs.isEmpty()
+                && failedJobs.stream().filter(job -> !job.failures().isSuspect()).count()
+                        >= FAULTY_AFTER_JOBS;
     }
 
     boolean draining() {
@@ -318,14 +352,14 @@
         draining = true;
     }
 
-    /** Counts jobs that failed here without another having succeeded in between. */
-    int errored(String job) {
-        errorJobs.add(job);
-        return errorJobs.size();
+    /** Notes that a task of a job failed here. */
+    void failed(Job job) {
+        failedJobs.add(job);
     }
 
+    /** Notes that a task succeeded here. */
     void worked() {
-        errorJobs.clear();
+        failedJobs.clear();
     }
 
     Collection<Attempt> attempts() {
@@ -400,7 +434,7 @@
     boolean takesWork(double now, double quietS) {
         return state == State.UP
                 && !noticed()
-                && !quarantined
+                && !quarantined()
                 && !draining
                 && !commandsFailing()
                 && now - lastHeard < quietS
@@ -433,12 +467,28 @@
 
     /** Whether room here is kept for other jobs than this one. */
     boolean keptFrom(Job job, double now) {
+        Set<Job> kept = keptFor(now);
+        return !kept.isEmpty() && !kept.contains(job);
+    }
+
+    /** The jobs for which room is being made here. */
+    Set<Job> keptFor(double now) {
         if (now >= keptUntil) {
             keptFor.clear();
         } else {
             keptFor.removeIf(other -> !other.active() || other.nextTask() < 0);
         }
-        return !keptFor.isEmpty() && !keptFor.contains(job);
+        return keptFor;
+    }
+
+    /** Notes what of the free room here is counted on for tasks that are expected to arrive. */
+    void headroom(Resources expected) {
+        headroom = expected;
+    }
+
+    /** Whether a task fits in beside what is expected to arrive. */
+    boolean hasRoomBesideHeadroom(Submission spec) {
+        return Resources.freeOn(this).minus(headroom).hold(spec);
     }
 
     /** Notes that a task that is to start here needs its image. */
--- a/src/main/java/org/springmill/control/coordination/MachineDraining.java
+++ b/src/main/java/org/springmill/control/coordination/MachineDraining.java
@@ -126,7 +126,18 @@
     }
 
     private boolean mayMove(Attempt attempt, double now) {
-        return attempt.ranSeconds(now) > LEASES_RUNNING * timing.leaseS();
+        return attempt.ranSeconds(now) > LEASES_RUNNING * timing.leaseS()
+                && !losesMostOfItsWork(attempt, now);
+    }
+
+    /**
+     * Whether a task that cannot save has done as much as it has left. It is over sooner than it
+     * would be anywhere else; some were moved again and again a few seconds before their end.
+     */
+    private static boolean losesMostOfItsWork(Attempt attempt, double now) {
+        Submission spec = attempt.job().spec();
+        boolean losesItsWork = !spec.service() && !spec.checkpoints();
+        return losesItsWork && attempt.ranSeconds(now) > spec.estimateS() / 2;
     }
 
     /** Whether everything on a machine finds room on others; packs it there. */
--- a/src/main/java/org/springmill/control/coordination/MachineHealth.java
+++ b/src/main/java/org/springmill/control/coordination/MachineHealth.java
@@ -17,10 +17,14 @@
     /** A worker's own lease, and as much again to find the new leader. */
     private static final double LEASES_TO_FIND_LEADER = 2;
 
+    /** Where none comes up, machines that are late are waited for so much longer. */
+    private static final double FAILING_PATIENCES = 2;
+
     private final Fleet fleet;
     private final MachineListing listing;
     private final ReportSilence silence;
     private final PartitionedZones partitions;
+    private final LateMachines lateMachines;
     private final MachineDeletion deletion;
     private final Settings settings;
     private final Timing timing;
@@ -31,6 +35,7 @@
             MachineListing listing,
             ReportSilence silence,
             PartitionedZones partitions,
+            LateMachines lateMachines,
             MachineDeletion deletion,
             Settings settings,
             Timing timing,
@@ -39,6 +44,7 @@
         this.listing = listing;
         this.silence = silence;
         this.partitions = partitions;
+        this.lateMachines = lateMachines;
         this.deletion = deletion;
         this.settings = settings;
         this.timing = timing;
@@ -166,9 +172,19 @@
         return isEstablished(now) && !machine.attempts().isEmpty();
     }
 
+    /**
+     * Whether a machine is given up. Where machines take long at present, a new one would come up
+     * no sooner.
+     */
     private boolean isBootOverdue(Machine machine, double now) {
-        double patienceSeconds = machine.type().bootS() * settings.operator().bootPatience();
-        return now - machine.firstSeen() > patienceSeconds;
+        double nominalSeconds = machine.type().bootS() * settings.operator().bootPatience();
+        double measuredSeconds = fleet.bootTimes().lateAfterSeconds(machine.type(), machine.zone());
+        double patienceSeconds =
+                lateMachines.isFailing(machine.type(), machine.zone())
+                        ? FAILING_PATIENCES * nominalSeconds
+                        : Math.max(nominalSeconds, measuredSeconds);
+        double since = machine.isBooting() ? machine.rentedAt() : machine.firstSeen();
+        return now - since > patienceSeconds && now - machine.firstSeen() > timing.leaseS();
     }
 
     /**
--- a/src/main/java/org/springmill/control/coordination/MachineListing.java
+++ b/src/main/java/org/springmill/control/coordination/MachineListing.java
@@ -140,6 +140,10 @@
     private void update(ListedMachine listed, boolean first) {
         Machine machine = fleet.machine(listed.name());
         machine.listed(listedAt);
+        machine.rentedAt(listedAt - listed.ageS());
+        if (listed.phase() != MachinePhase.BOOTING) {
+            machine.listedAsRunning();
+        }
         if (machine.type() == null || machine.address().isEmpty()) {
             describe(machine, listed);
             if (first) {
--- a/src/main/java/org/springmill/control/coordination/MachineTypeCatalog.java
+++ b/src/main/java/org/springmill/control/coordination/MachineTypeCatalog.java
@@ -99,6 +99,15 @@
         return types.values();
     }
 
+    /** Boot time of the type that boots slowest. */
+    double slowestBootSeconds() {
+        double slowest = 0;
+        for (MachineType type : types.values()) {
+            slowest = Math.max(slowest, type.bootS());
+        }
+        return slowest;
+    }
+
     /** Why a job can never run; null if it can. */
     String impossible(Submission job) {
         Settings.Team team = settings.team(job.team());
--- a/src/main/java/org/springmill/control/coordination/Metrics.java
+++ b/src/main/java/org/springmill/control/coordination/Metrics.java
@@ -51,6 +51,7 @@
     private final Counter attemptsEnded;
     private final Counter attemptsLost;
     private final Counter recordsMoved;
+    private final Counter jobsSuspected;
     private double lastReadAt = Double.NEGATIVE_INFINITY;
 
     Metrics(Loop loop) {
@@ -64,6 +65,7 @@
         attemptsEnded = counter("attempts_ended");
         attemptsLost = counter("attempts_lost");
         recordsMoved = counter("job_records_moved");
+        jobsSuspected = counter("jobs_suspected");
     }
 
     /** Adds a gauge that reads its value from an object whenever the metrics are read. */
@@ -103,6 +105,11 @@
         attemptsLost.increment();
     }
 
+    /** Records that a job was found to fail on one machine after the other. */
+    void jobSuspected() {
+        jobsSuspected.increment();
+    }
+
     /** Records that the record of an ended job was moved to the history. */
     void recordMoved() {
         recordsMoved.increment();
--- a/src/main/java/org/springmill/control/coordination/PackingRequest.java
+++ b/src/main/java/org/springmill/control/coordination/PackingRequest.java
@@ -1,5 +1,6 @@
 package org.springmill.control.coordination;
 
+import java.util.Optional;
 import java.util.function.Predicate;
 import java.util.function.Supplier;
 import org.springmill.protocol.Submission;
@@ -11,21 +12,58 @@
  * @param tasks how many there are
  * @param tasksPerZone asked for each task: what the zones hold of its job
  * @param excluded machines that are no room for them
+ * @param shape their shape, if all tasks of that shape find room on the same machines
+ * @param expected whether they have yet to arrive
+ * @param maxPriceRatio machines are planned for them only up to so many times the least price
  */
 record PackingRequest(
         Submission spec,
         int tasks,
         Supplier<ZoneCounts> tasksPerZone,
-        Predicate<Machine> excluded) {
+        Predicate<Machine> excluded,
+        Optional<TaskShape> shape,
+        boolean expected,
+        double maxPriceRatio) {
 
     /** Tasks of one job, which together must keep to its spread over zones. */
     static PackingRequest ofJob(
             Submission spec, int tasks, ZoneCounts tasksPerZone, Predicate<Machine> excluded) {
-        return new PackingRequest(spec, tasks, () -> tasksPerZone, excluded);
+        return new PackingRequest(
+                spec,
+                tasks,
+                () -> tasksPerZone,
+                excluded,
+                Optional.empty(),
+                false,
+                Double.POSITIVE_INFINITY);
     }
 
     /** Expected tasks, each of a job of its own, which may be placed on any machine. */
     static PackingRequest ofExpected(Submission spec, int tasks) {
-        return new PackingRequest(spec, tasks, ZoneCounts::new, machine -> false);
+        return new PackingRequest(
+                spec,
+                tasks,
+                ZoneCounts::new,
+                machine -> false,
+                Optional.empty(),
+                true,
+                Double.POSITIVE_INFINITY);
+    }
+
+    /** The same, where all tasks of a shape find room on the same machines. */
+    PackingRequest withShape(TaskShape newShape) {
+        return new PackingRequest(
+                spec,
+                tasks,
+                tasksPerZone,
+                excluded,
+                Optional.of(newShape),
+                expected,
+                maxPriceRatio);
+    }
+
+    /** The same, with machines planned only up to so many times the least price. */
+    PackingRequest withMaxPriceRatio(double ratio) {
+        return new PackingRequest(spec, tasks, tasksPerZone, excluded, shape, expected, ratio);
     }
 }
--- a/src/main/java/org/springmill/control/coordination/Placement.java
+++ b/src/main/java/org/springmill/control/coordination/Placement.java
@@ -12,6 +12,9 @@
 
 /** Chooses machines for waiting tasks. */
 final class Placement {
+    /** For a machine on which the job failed: more than any wait for an image. */
+    private static final double AVOIDED_SECONDS = 1e4;
+
     private final Fleet fleet;
     private final Timing timing;
 
@@ -89,8 +92,9 @@
                 new MachineScore(
                         timing, MachineScore.largestReplica(fleet.clusterState().jobs().values()));
         List<Machine> open = open(now);
+        ExhaustedShapes exhausted = new ExhaustedShapes(jobsWithOwnRoom(open, now));
         for (Job job : waiting) {
-            if (now < job.notBefore()) {
+            if (now < job.failures().notBefore()) {
                 continue;
             }
             if (placed.size() >= most && !job.spec().gang()) {
@@ -100,17 +104,20 @@
             if (!job.spec().gang() && !usage(job).allows(job.spec())) {
                 continue;
             }
+            if (exhausted.cover(job)) {
+                foundNoMachine(job);
+                continue;
+            }
             MachineRanking ranking =
                     new MachineRanking(open, machine -> placingCost(job, machine, now));
             if (job.spec().gang()) {
                 placeGang(job, ranking, round, most, placed);
                 continue;
             }
-            while (placed.size() < most && job.nextTask() >= 0 && usage(job).allows(job.spec())) {
+            while (placed.size() < most && job.mayStartAnother() && usage(job).allows(job.spec())) {
                 if (!placeNext(job, ranking, round, placed)) {
-                    if (job.spec().service()) {
-                        usage(job).hold(job.spec(), job.waiting());
-                    }
+                    exhausted.add(job);
+                    foundNoMachine(job);
                     reservations.reserve(job, open, now);
                     break;
                 }
@@ -119,6 +126,19 @@
         return placed;
     }
 
+    /** The jobs for which machines keep room that other jobs do not get. */
+    Set<Job> jobsWithOwnRoom(List<Machine> open, double now) {
+        Set<Job> jobs = new HashSet<>(reservations.holders());
+        open.forEach(machine -> jobs.addAll(machine.keptFor(now)));
+        return jobs;
+    }
+
+    private void foundNoMachine(Job job) {
+        if (job.spec().service()) {
+            usage(job).hold(job.spec(), job.waiting());
+        }
+    }
+
     /**
      * Whether the last round was full before it came to a job. Nothing shows then that there is no
      * place for it. Ranking all machines for each job of a long queue, of which a round takes the
@@ -171,22 +191,36 @@
     }
 
     /** Whether a job may run on a machine, if there is room. */
-    static boolean eligible(Job job, Machine machine) {
+    static boolean eligible(Job job, Machine machine, double now) {
         return machine.suits(job.spec())
-                && !job.hasFailedOn(machine.name())
+                && !job.failures().excludes(machine.name(), now)
                 && job.zoneAllows(machine.zone());
     }
 
+    private static double avoidanceCost(Job job, Machine machine, double now) {
+        return job.failures().avoids(machine.name(), now) ? AVOIDED_SECONDS : 0;
+    }
+
+    /**
+     * Work of a team without a guarantee takes what is idle, and not the room that stands ready for
+     * others: they would wait until it had given way, longer than many may wait for a start.
+     */
+    private boolean hasRoom(Job job, Machine machine) {
+        return usage(job).hasGuarantee()
+                ? machine.hasRoom(job.spec())
+                : machine.hasRoomBesideHeadroom(job.spec());
+    }
+
     /**
      * A holder of the image first, the fullest of them; then the quickest fetch, and among equals
      * the one with most free room.
      */
     private double placingCost(Job job, Machine machine, double now) {
-        return machine.hasRoom(job.spec())
-                        && eligible(job, machine)
+        return hasRoom(job, machine)
+                        && eligible(job, machine, now)
                         && !machine.keptFrom(job, now)
                         && !reservations.reservedFrom(job, machine)
-                ? score.of(job, machine, now)
+                ? score.of(job, machine, now) + avoidanceCost(job, machine, now)
                 : Double.POSITIVE_INFINITY;
     }
 }
--- a/src/main/java/org/springmill/control/coordination/Preemption.java
+++ b/src/main/java/org/springmill/control/coordination/Preemption.java
@@ -35,21 +35,25 @@
     void makeRoomForWaiting() {
         double now = fleet.now();
         List<Job> waiting = placement.waiting();
-        waiting.removeIf(job -> now < job.notBefore());
+        waiting.removeIf(job -> now < job.failures().notBefore());
         if (waiting.stream().noneMatch(this::mayStopAny)) {
             return;
         }
         List<Machine> open = placement.open(now);
         Map<Machine, Resources> promised = new HashMap<>();
         fleet.clusterState().releaseHeld();
+        ExhaustedShapes exhausted = new ExhaustedShapes(placement.jobsWithOwnRoom(open, now));
         for (Job job : waiting) {
             // By the same measure as placement: tasks gave way, without end, to a job whose part of
             // its team's limit was held for an earlier one.
-            int wanted = Math.min(job.waiting(), usage(job).roomBesideHeld(job.spec()));
+            int wanted = Math.min(job.startable(), usage(job).roomBesideHeld(job.spec()));
             if (job.spec().service() && wanted > 0) {
                 usage(job).hold(job.spec(), job.waiting());
             }
-            if (wanted <= 0 || placement.unreached(job) || !mayStopAny(job)) {
+            if (wanted <= 0
+                    || placement.unreached(job)
+                    || !mayStopAny(job)
+                    || exhausted.cover(job)) {
                 continue;
             }
             int guaranteed = usage(job).guaranteedRoomFor(job.spec());
@@ -61,6 +65,7 @@
             for (; made[0] < wanted; made[0]++) {
                 Machine machine = ranking.best();
                 if (machine == null) {
+                    exhausted.add(job);
                     break;
                 }
                 makeRoom(job, made[0] < guaranteed, machine, promised, now);
@@ -107,7 +112,7 @@
             Machine machine,
             Map<Machine, Resources> promised,
             double now) {
-        if (!Placement.eligible(job, machine)) {
+        if (!Placement.eligible(job, machine, now)) {
             return Double.POSITIVE_INFINITY;
         }
         List<Attempt> victims = victims(job, guaranteed, machine, promised.get(machine), now);
--- a/src/main/java/org/springmill/control/coordination/Reconciliation.java
+++ b/src/main/java/org/springmill/control/coordination/Reconciliation.java
@@ -17,11 +17,11 @@
 final class Reconciliation {
     private static final Logger LOG = LoggerFactory.getLogger(Reconciliation.class);
 
-    /**
-     * Machines on which this many jobs failed in a row, with none succeeding, are taken to be
-     * faulty.
-     */
-    private static final int FAULTY_AFTER = 2;
+    /** The shortest pause of a job that fails is a lease divided by this. */
+    private static final double PAUSES_PER_LEASE = 4;
+
+    /** A worker sends so many messages, lost ones included, within moments of its start. */
+    private static final int FIRST_MESSAGES = 4;
 
     private final Fleet fleet;
     private final Timing timing;
@@ -70,7 +70,11 @@
         boolean tookWork = machine.takesWork(now, timing.quietS());
         machine.adoptToken(report.token());
         machine.take(report, now);
-        if (machine.state() == Machine.State.EXPECTED || machine.state() == Machine.State.LOST) {
+        boolean wasExpected = machine.state() == Machine.State.EXPECTED;
+        if (wasExpected && machine.type() != null && isFirstOfItsWorker(report)) {
+            fleet.bootTimes().cameUp(machine, now);
+        }
+        if (wasExpected || machine.state() == Machine.State.LOST) {
             machine.transition(Machine.State.UP);
         }
         Set<Attempt> present = takeReportedTasks(machine, report, now);
@@ -90,6 +94,11 @@
         }
     }
 
+    /** Whether a worker has only just begun to send messages. */
+    private static boolean isFirstOfItsWorker(Report report) {
+        return report.session() <= 1 && report.seq() <= FIRST_MESSAGES;
+    }
+
     private Set<Attempt> takeReportedTasks(Machine machine, Report report, double now) {
         Set<Attempt> present = new HashSet<>();
         for (TaskReport task : report.tasks()) {
@@ -143,16 +152,9 @@
         switch (cause) {
             case DONE -> {
                 machine.worked();
-                job.succeeded();
-            }
-            case ERROR -> {
-                job.failedOn(machine.name(), now, timing.leaseS() / 4);
-                LOG.info("{} failed on {}", attempt.claim().task(), machine.name());
-                if (machine.errored(job.id()) >= FAULTY_AFTER && !machine.quarantined()) {
-                    LOG.warn("machine {} fails what it starts: no new work for it", machine.name());
-                    machine.quarantine();
-                }
+                job.failures().succeeded();
             }
+            case ERROR -> failed(machine, attempt, now);
             case NO_ROOM, BUSY, UNKNOWN_JOB -> {
                 LOG.info("{} refused on {}: {}", attempt.claim().task(), machine.name(), cause);
                 machine.avoidUntil(now + timing.reportS());
@@ -162,6 +164,33 @@
         fleet.end(attempt, cause);
     }
 
+    private void failed(Machine machine, Attempt attempt, double now) {
+        LOG.info("{} failed on {}", attempt.claim().task(), machine.name());
+        Job job = attempt.job();
+        JobFailures failures = job.failures();
+        if (job.spec().service() && anotherRunsWell(job, attempt, now)) {
+            failures.othersRunWell();
+        }
+        boolean wasSuspect = failures.isSuspect();
+        failures.failed(
+                machine.name(), attempt.claimedAt(), now, timing.leaseS() / PAUSES_PER_LEASE);
+        if (!wasSuspect && failures.isSuspect()) {
+            metrics.jobSuspected();
+            LOG.warn("{} fails wherever it runs: tried with few tasks, after pauses", job.id());
+        }
+        boolean wasQuarantined = machine.quarantined();
+        machine.failed(job);
+        if (!wasQuarantined && machine.quarantined()) {
+            LOG.warn("machine {} fails what it starts: no new work for it", machine.name());
+        }
+    }
+
+    /** A replica that has run for a whole lease shows that the job itself is in order. */
+    private boolean anotherRunsWell(Job job, Attempt failed, double now) {
+        return job.attempts().stream()
+                .anyMatch(other -> other != failed && other.ranSeconds(now) > timing.leaseS());
+    }
+
     /**
      * Absence from a newer message proves that an attempt is gone if the worker had by then seen a
      * token above every one its start was sent with, or has since begun a new session; otherwise a
--- a/src/main/java/org/springmill/control/coordination/RentalPlanner.java
+++ b/src/main/java/org/springmill/control/coordination/RentalPlanner.java
@@ -11,9 +11,6 @@
  * for what finds no room, has idle ones deleted, and drains one that is mostly free.
  */
 final class RentalPlanner {
-    /** A job that failed on more machines than this has most likely a fault of its own. */
-    private static final int MAX_MACHINES_FAILED_ON = 2;
-
     /** The fullest first, so that what is free gathers on few machines that can be returned. */
     private static final Comparator<Bin> FILLING_ORDER =
             Comparator.comparing(Bin::activity)
@@ -24,6 +21,7 @@
     private final Placement placement;
     private final MachineListing listing;
     private final PartitionedZones partitions;
+    private final LateMachines lateMachines;
     private final RentalRequests requests;
     private final Headroom headroom;
     private final IdleMachines idleMachines;
@@ -38,6 +36,7 @@
             Placement placement,
             MachineListing listing,
             PartitionedZones partitions,
+            LateMachines lateMachines,
             RentalRequests requests,
             Headroom headroom,
             IdleMachines idleMachines,
@@ -49,6 +48,7 @@
         this.placement = placement;
         this.listing = listing;
         this.partitions = partitions;
+        this.lateMachines = lateMachines;
         this.requests = requests;
         this.headroom = headroom;
         this.idleMachines = idleMachines;
@@ -72,12 +72,10 @@
         }
         DemandPacking packing = packing(now);
         List<Job> waiting = placement.waiting();
-        for (Job job : waiting) {
-            if (job.machinesFailedOn() <= MAX_MACHINES_FAILED_ON) {
-                pack(job, packing);
-            }
-        }
+        waiting.stream().filter(this::hasGuarantee).forEach(job -> pack(job, packing, now));
         headroom.reserve(packing, now);
+        noteHeadroom(packing.bins());
+        waiting.stream().filter(job -> !hasGuarantee(job)).forEach(job -> pack(job, packing, now));
         requests.rent(packing.plannedBins());
         idleMachines.delete(packing.bins(), now);
         if (waiting.isEmpty()) {
@@ -85,6 +83,18 @@
         }
     }
 
+    private boolean hasGuarantee(Job job) {
+        return fleet.clusterState().usage(job.spec().team()).hasGuarantee();
+    }
+
+    private static void noteHeadroom(List<Bin> bins) {
+        for (Bin bin : bins) {
+            if (!bin.isPlanned()) {
+                bin.machine().headroom(bin.expected());
+            }
+        }
+    }
+
     /** Machines rented just before a change of leader may not be listed yet. */
     private boolean areEarlierRentalsListed(double now) {
         return firstTerm || now - startedAt >= listing.longestLagSeconds();
@@ -97,12 +107,15 @@
                 fleet.catalog().all(),
                 settings.zones(),
                 kind -> isRentable(kind, now),
+                lateMachines::isFailing,
                 machinesPerZone,
                 usableBins(now));
     }
 
     private boolean isRentable(MachineKind kind, double now) {
-        return !partitions.contains(kind.zone()) && !requests.isRefused(kind, now);
+        return !partitions.contains(kind.zone())
+                && !requests.isRefused(kind, now)
+                && lateMachines.mayRent(kind, now);
     }
 
     private List<Bin> usableBins(double now) {
@@ -122,7 +135,8 @@
             return false;
         }
         return switch (machine.state()) {
-            case EXPECTED -> !partitions.contains(machine.zone());
+            case EXPECTED ->
+                    !partitions.contains(machine.zone()) && !lateMachines.isReplaced(machine);
             // Of a fleet that comes up at once, many have reported and not heard the leader yet.
             case UP -> machine.takesWork(now, timing.leaseS()) || machine.hasJustComeUp();
             case LOST, RETURNING, GONE -> false;
@@ -138,18 +152,43 @@
      * placed there: it would wait for ever where they are the only ones with room. Nor are those
      * that are reserved for another job.
      */
-    private void pack(Job job, DemandPacking packing) {
-        int tasks = Math.min(job.waiting(), tasksWithinLimit(job));
+    private void pack(Job job, DemandPacking packing, double now) {
+        int tasks = slots(job.spec(), Math.min(job.startable(), tasksWithinLimit(job)));
         Submission spec = job.spec().oneZone() ? inOneZone(job, tasks, packing) : job.spec();
         ZoneCounts tasksPerZone = new ZoneCounts();
         job.attempts().forEach(attempt -> tasksPerZone.add(attempt.machine().zone()));
-        packing.pack(
+        PackingRequest request =
                 PackingRequest.ofJob(
-                        spec, tasks, tasksPerZone, machine -> isExcluded(machine, job)));
+                        spec, tasks, tasksPerZone, machine -> isExcluded(machine, job, now));
+        packing.pack(withShape(job, withPriceBound(job, request)));
+    }
+
+    private PackingRequest withPriceBound(Job job, PackingRequest request) {
+        return hasGuarantee(job)
+                ? request
+                : request.withMaxPriceRatio(settings.operator().unguaranteedPriceRatio());
+    }
+
+    private PackingRequest withShape(Job job, PackingRequest request) {
+        boolean hasOwnRoom = placement.reservations().holders().contains(job);
+        return hasOwnRoom ? request : TaskShape.of(job).map(request::withShape).orElse(request);
+    }
+
+    /**
+     * How many tasks have to run at once for all of them to have run within a boot. Tasks that are
+     * shorter than that follow each other in the same room: a machine for each of some ten thousand
+     * short tasks would come up when most of them are done.
+     */
+    private int slots(Submission spec, int tasks) {
+        double bootSeconds = fleet.catalog().slowestBootSeconds();
+        boolean shorterThanABoot = spec.estimateS() > 0 && spec.estimateS() < bootSeconds;
+        return spec.service() || spec.gang() || !shorterThanABoot
+                ? tasks
+                : (int) Math.ceil(tasks * spec.estimateS() / bootSeconds);
     }
 
-    private boolean isExcluded(Machine machine, Job job) {
-        return job.hasFailedOn(machine.name())
+    private boolean isExcluded(Machine machine, Job job, double now) {
+        return job.failures().excludes(machine.name(), now)
                 || placement.reservations().reservedFrom(job, machine);
     }
 
--- a/src/main/java/org/springmill/control/coordination/RentalRequests.java
+++ b/src/main/java/org/springmill/control/coordination/RentalRequests.java
@@ -32,6 +32,7 @@
 
     private final Fleet fleet;
     private final CloudClient cloud;
+    private final LateMachines lateMachines;
     private final Loop loop;
 
     /** By the kind's label. */
@@ -43,9 +44,10 @@
     /** A request for so many machines of a kind. */
     private record Rental(MachineKind kind, int count, Request request) {}
 
-    RentalRequests(Fleet fleet, CloudClient cloud, Loop loop) {
+    RentalRequests(Fleet fleet, CloudClient cloud, LateMachines lateMachines, Loop loop) {
         this.fleet = fleet;
         this.cloud = cloud;
+        this.lateMachines = lateMachines;
         this.loop = loop;
     }
 
@@ -65,8 +67,9 @@
             return;
         }
         for (List<MachineKind> machines : groupByLabel(planned)) {
-            int count = Math.min(machines.size(), CloudMessages.MAX_RENT);
-            rent(machines.get(0), count);
+            MachineKind kind = machines.get(0);
+            int most = Math.min(CloudMessages.MAX_RENT, lateMachines.mostAtOnce(kind));
+            rent(kind, Math.min(machines.size(), most));
         }
     }
 
--- a/src/main/java/org/springmill/control/coordination/Rentals.java
+++ b/src/main/java/org/springmill/control/coordination/Rentals.java
@@ -16,6 +16,7 @@
     private final MachineListing listing;
     private final ReportSilence silence;
     private final PartitionedZones partitions;
+    private final LateMachines lateMachines;
     private final MachineHealth health;
     private final RentalRequests requests;
     private final RentalPlanner planner;
@@ -40,19 +41,29 @@
         listing = new MachineListing(fleet, cloud, deletion, loop, settings, changed);
         silence = new ReportSilence(listing, timing, now);
         partitions = new PartitionedZones(fleet, peers, silence, timing, now);
+        lateMachines = new LateMachines(fleet, partitions, timing);
         health =
                 new MachineHealth(
-                        fleet, listing, silence, partitions, deletion, settings, timing, now);
-        requests = new RentalRequests(fleet, cloud, loop);
+                        fleet,
+                        listing,
+                        silence,
+                        partitions,
+                        lateMachines,
+                        deletion,
+                        settings,
+                        timing,
+                        now);
+        requests = new RentalRequests(fleet, cloud, lateMachines, loop);
         planner =
                 new RentalPlanner(
                         fleet,
                         placement,
                         listing,
                         partitions,
+                        lateMachines,
                         requests,
                         new Headroom(fleet, demand, settings),
-                        new IdleMachines(deletion, settings),
+                        new IdleMachines(deletion, lateMachines, settings),
                         new MachineDraining(fleet, demand, silence, timing, now),
                         settings,
                         timing,
@@ -74,6 +85,11 @@
         cloud.close();
     }
 
+    /** How many machines are late to come up. */
+    int machinesLate() {
+        return lateMachines.count();
+    }
+
     /** Notes that for some time nothing was read or done here. */
     void stoodStill() {
         silence.restart(loop.now());
@@ -86,6 +102,7 @@
         }
         double now = loop.now();
         partitions.update(now);
+        lateMachines.update(now);
         health.deleteUnusable(now);
         requests.forgetOldRefusals(now);
         planner.plan(now);
--- a/src/main/java/org/springmill/control/coordination/Reservations.java
+++ b/src/main/java/org/springmill/control/coordination/Reservations.java
@@ -1,6 +1,7 @@
 package org.springmill.control.coordination;
 
 import java.util.ArrayList;
+import java.util.Collection;
 import java.util.Comparator;
 import java.util.HashMap;
 import java.util.HashSet;
@@ -49,6 +50,11 @@
         return !job.spec().service() && job.liveCount() > 0;
     }
 
+    /** The jobs for which a machine is reserved. */
+    Collection<Job> holders() {
+        return reserved.values();
+    }
+
     /** Notes who waits, and gives up reservations that are of no more use. */
     void update(List<Job> waiting, double now) {
         Set<Job> waits = new HashSet<>(waiting);
@@ -68,7 +74,7 @@
      */
     private boolean mayWaitOn(Job job, double now) {
         return begun(job)
-                || job.machinesFailedOn() > 1
+                || job.failures().isSuspect()
                 || now - waitsSince.get(job) < LEASES_BEFORE_RESERVATION * timing.leaseS();
     }
 
@@ -87,7 +93,7 @@
         double soonest = Double.POSITIVE_INFINITY;
         for (Machine machine : open) {
             double seconds =
-                    Placement.eligible(job, machine) && !reserved.containsKey(machine)
+                    Placement.eligible(job, machine, now) && !reserved.containsKey(machine)
                             ? secondsUntilRoom(job, machine, now)
                             : soonest;
             if (seconds < soonest) {
@@ -138,8 +144,8 @@
      */
     private boolean isOfUse(Machine machine, Job job, double now) {
         return machine.takesWork(now, timing.quietS())
-                && Placement.eligible(job, machine)
-                && now >= job.notBefore()
+                && Placement.eligible(job, machine, now)
+                && now >= job.failures().notBefore()
                 && usage(job).allows(job.spec());
     }
 
--- a/src/main/java/org/springmill/protocol/OperatorSettings.java
+++ b/src/main/java/org/springmill/protocol/OperatorSettings.java
@@ -9,6 +9,8 @@
  * @param idleBoots how many boot times an idle machine is kept
  * @param bootPatience how many boot times a machine may take before it is returned
  * @param reserve factor on the headroom for classes that must start sooner than a machine boots
+ * @param unguaranteedPriceRatio how many times the least price per task a machine may cost that is
+ *     rented for a team without a guarantee
  * @param pendingSubmissions how many submissions may wait for the state service before users are
  *     told to come back; what they would have to wait bounds them in any case
  * @param historyRetentionS how long after its end a job's record stays among those that every
@@ -21,6 +23,7 @@
         double idleBoots,
         double bootPatience,
         double reserve,
+        double unguaranteedPriceRatio,
         int pendingSubmissions,
         OptionalDouble historyRetentionS,
         OptionalDouble maxWaitS,
@@ -32,6 +35,7 @@
                     1.5,
                     3.5,
                     1.0,
+                    3.0,
                     Integer.MAX_VALUE,
                     OptionalDouble.empty(),
                     OptionalDouble.empty(),
--- a/src/main/java/org/springmill/protocol/OperatorSettingsFile.java
+++ b/src/main/java/org/springmill/protocol/OperatorSettingsFile.java
@@ -16,6 +16,7 @@
     private static final String IDLE_BOOTS = "idle_boots";
     private static final String BOOT_PATIENCE = "boot_patience";
     private static final String RESERVE = "reserve";
+    private static final String UNGUARANTEED_PRICE_RATIO = "unguaranteed_price_ratio";
     private static final String PENDING_SUBMISSIONS = "pending_submissions";
     private static final String HISTORY = "history";
     private static final String RETENTION = "retention_s";
@@ -41,7 +42,7 @@
 
     private static final Map<String, Set<String>> FIELDS_BY_BLOCK =
             Map.of(
-                    RENTALS, Set.of(IDLE_BOOTS, BOOT_PATIENCE, RESERVE),
+                    RENTALS, Set.of(IDLE_BOOTS, BOOT_PATIENCE, RESERVE, UNGUARANTEED_PRICE_RATIO),
                     USERS, Set.of(PENDING_SUBMISSIONS),
                     HISTORY, Set.of(RETENTION),
                     ADMISSION, Set.of(MAX_WAIT, LEADER_SHARE));
@@ -89,6 +90,13 @@
         double idleBoots = number(RENTALS, IDLE_BOOTS, defaults.idleBoots(), 0.1, 100);
         double bootPatience = number(RENTALS, BOOT_PATIENCE, defaults.bootPatience(), 1.5, 100);
         double reserve = number(RENTALS, RESERVE, defaults.reserve(), 0, 10);
+        double unguaranteedPriceRatio =
+                number(
+                        RENTALS,
+                        UNGUARANTEED_PRICE_RATIO,
+                        defaults.unguaranteedPriceRatio(),
+                        0,
+                        1000);
         double pendingSubmissions =
                 number(USERS, PENDING_SUBMISSIONS, defaults.pendingSubmissions(), 1, 1_000_000);
         double leaderShare =
@@ -102,6 +110,7 @@
                 idleBoots,
                 bootPatience,
                 reserve,
+                unguaranteedPriceRatio,
                 (int) pendingSubmissions,
                 historyRetention(),
                 maxWait(),
--- a/src/test/java/org/springmill/control/coordination/DemandPackingTest.java
+++ b/src/test/java/org/springmill/control/coordination/DemandPackingTest.java
@@ -28,8 +28,17 @@
     }
 
     private DemandPacking packing(Predicate<MachineKind> rentable) {
+        return packing(rentable, kind -> false);
+    }
+
+    private DemandPacking packing(Predicate<MachineKind> rentable, Predicate<MachineKind> failing) {
         return new DemandPacking(
-                List.of(CHEAP, DEAR), List.of("a", "b", "c"), rentable, machinesPerZone, bins);
+                List.of(CHEAP, DEAR),
+                List.of("a", "b", "c"),
+                rentable,
+                failing,
+                machinesPerZone,
+                bins);
     }
 
     private List<String> plannedFor(Submission job, Predicate<MachineKind> rentable) {
@@ -99,6 +108,55 @@
         assertEquals(200, packing.plannedBins().size());
     }
 
+    /** Guards against ordering the replacement of a late machine where machines do not come up. */
+    @Test
+    void kindThatDoesNotComeUpIsTheLastChoice() {
+        Submission job = PackingFixtures.job(3).size(96, 0, 1).zone("b").build();
+        DemandPacking packing = packing(Objects::nonNull, kind -> kind.label().equals("cheap/b"));
+        packing.pack(PackingRequest.ofJob(job, 1, new ZoneCounts(), machine -> false));
+        assertEquals("dear/b", packing.plannedBins().get(0).kind().label());
+
+        oneRentedMachineInZoneA();
+        packing = packing(kind -> kind.label().equals("cheap/b"), kind -> true);
+        packing.pack(PackingRequest.ofJob(job, 1, new ZoneCounts(), machine -> false));
+        assertEquals("cheap/b", packing.plannedBins().get(0).kind().label());
+    }
+
+    /** Guards against dear machines being rented for a team without a guarantee. */
+    @Test
+    void nothingIsPlannedAboveThePriceBoundEvenIfNothingCheaperCanBeRented() {
+        Submission job = PackingFixtures.job(3).size(96, 0, 1).zone("b").spot().build();
+        PackingRequest request = PackingRequest.ofJob(job, 1, new ZoneCounts(), machine -> false);
+        DemandPacking packing = packing(kind -> !kind.spot());
+        packing.pack(request.withMaxPriceRatio(1.9));
+        assertEquals(List.of(), packing.plannedBins());
+        packing.pack(request.withMaxPriceRatio(2.1));
+        assertEquals("cheap/b", packing.plannedBins().get(0).kind().label());
+    }
+
+    /** The next job of a shape goes on where the last one found no more room. */
+    @Test
+    void jobsOfOneShapeFillBinsAsOneJobWould() {
+        Submission job = PackingFixtures.job(1).size(30, 0, 1).build();
+        TaskShape shape = TaskShape.of(new Job(job, 1)).get();
+        DemandPacking packing = packing(Objects::nonNull);
+        for (int i = 0; i < 7; i++) {
+            packing.pack(
+                    PackingRequest.ofJob(job, 1, new ZoneCounts(), machine -> false)
+                            .withShape(shape));
+        }
+        assertEquals(2, packing.plannedBins().size());
+    }
+
+    @Test
+    void whatIsExpectedIsToldApartFromWhatWaits() {
+        Submission job = PackingFixtures.job(1).size(10, 0, 1).build();
+        DemandPacking packing = packing(Objects::nonNull);
+        packing.pack(PackingRequest.ofJob(job, 2, new ZoneCounts(), machine -> false));
+        packing.pack(PackingRequest.ofExpected(job, 3));
+        assertEquals(new Resources(30, 0, 3), bins.get(0).expected());
+    }
+
     @Test
     void tasksThatBelongTogetherGoWhereMostOfThemFindRoom() {
         Submission small = PackingFixtures.job(2).size(48, 0, 1).build();
--- a/src/test/java/org/springmill/control/coordination/FullRoundTest.java
+++ b/src/test/java/org/springmill/control/coordination/FullRoundTest.java
@@ -28,7 +28,7 @@
     private final VirtualClock clock = new VirtualClock();
     private final Timing timing = Timing.of(SETTINGS);
     private final ClusterState clusterState = new ClusterState(SETTINGS);
-    private final Fleet fleet = new Fleet(clusterState, null, clock, timing, 1);
+    private final Fleet fleet = new Fleet(clusterState, null, clock, timing, 1, 3.5);
     private final Placement placement = new Placement(fleet, timing);
     private final List<Job> jobs = new ArrayList<>();
 
--- /dev/null
+++ b/src/test/java/org/springmill/control/coordination/LateMachineTest.java
@@ -0,0 +1,117 @@
+package org.springmill.control.coordination;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+import org.springmill.sim.SimulatedCluster;
+
+/**
+ * New machines that come up late, never, or at once. The cluster has four machines with 8 GPUs; a
+ * new one boots in 20 s, and operators wait 3.5 times as long for one.
+ */
+class LateMachineTest extends ClusterFixture {
+    private static final double BOOT_SECONDS = 20;
+    private static final int MACHINES = 4;
+    private static final int GPUS = 8;
+
+    @BeforeEach
+    void start() {
+        startCluster(21);
+        acceptService("run-000010", "blue", MACHINES, GPUS);
+        cluster.run(10);
+        assertEquals(MACHINES, cluster.running("run-000010"));
+    }
+
+    private void setBootSeconds(double seconds) {
+        cluster.cloud().setBootSeconds("a", seconds);
+        cluster.cloud().setBootSeconds("b", seconds);
+    }
+
+    /**
+     * Guards against waiting for a machine that never comes up for as long as it takes to give it
+     * up, and against keeping the machine once another one serves.
+     */
+    @Test
+    void machineThatNeverComesUpIsReplacedAndGivenBack() {
+        setBootSeconds(FOREVER);
+        acceptService(JOB, "blue", 1, GPUS);
+        cluster.run(5);
+        assertEquals(MACHINES + 1, cluster.cloud().everRented());
+        setBootSeconds(BOOT_SECONDS);
+
+        cluster.run(1.6 * BOOT_SECONDS + BOOT_SECONDS + 8);
+
+        assertEquals(1, cluster.running(JOB));
+        cluster.run(5);
+        assertEquals(MACHINES + 1, machines().size(), "the late one was given back");
+        assertEquals(MACHINES + 2, cluster.cloud().everRented());
+    }
+
+    /** Guards against renting everything twice when all machines are merely slow to come up. */
+    @Test
+    void generalDelayHasFewMachinesRentedTwice() {
+        setBootSeconds(4 * BOOT_SECONDS);
+        int late = 8;
+        acceptService(JOB, "blue", 2, GPUS);
+        acceptService(OTHER, "blue", 1, GPUS);
+        for (int i = 0; i < late - 3; i++) {
+            cluster.submit(follower(), lowPriority("run-00020" + i), 60);
+        }
+        cluster.run(4 * BOOT_SECONDS + 15);
+
+        assertEquals(2, cluster.running(JOB));
+        assertEquals(1, cluster.running(OTHER));
+        int surplus = cluster.cloud().everRented() - MACHINES - late;
+        assertTrue(surplus <= 1 + late / 4, surplus + " machines too many");
+        assertEachTaskStartedOnce(JOB, 2);
+    }
+
+    private static ObjectNode lowPriority(String id) {
+        return SimulatedCluster.job(id, "blue", "sweep", 1, 1, GPUS);
+    }
+
+    /** Guards against a second wave of orders by a new leader, and tasks placed twice. */
+    @Test
+    void newLeaderOrdersNothingTwiceWhileMachinesAreLate() {
+        setBootSeconds(3 * BOOT_SECONDS);
+        acceptService(JOB, "blue", 3, GPUS);
+        cluster.run(25);
+        assertEquals(MACHINES + 3, cluster.cloud().everRented());
+        cluster.kill(cluster.leader());
+        cluster.run(3 * BOOT_SECONDS);
+
+        assertEquals(3, cluster.running(JOB));
+        assertTrue(cluster.cloud().everRented() <= MACHINES + 3 + 1, "one more at most");
+        assertEachTaskStartedOnce(JOB, 3);
+    }
+
+    /** A type that fails in one zone is tried there with one machine, and used in the other. */
+    @Test
+    void zoneWhereNothingComesUpIsLeftForTheOther() {
+        cluster.cloud().setBootSeconds("a", FOREVER);
+        acceptService(JOB, "blue", 3, GPUS);
+        cluster.run(1.6 * BOOT_SECONDS + BOOT_SECONDS + 10);
+        assertEquals(3, cluster.running(JOB));
+
+        cluster.cloud().setBootSeconds("a", BOOT_SECONDS);
+        cluster.cloud().runOut("b");
+        acceptService(OTHER, "blue", 1, GPUS);
+        cluster.run(3 * BOOT_SECONDS);
+        assertEquals(1, cluster.running(OTHER), "it is used again once machines come up there");
+    }
+
+    /** Machines that come up in a twentieth of their time are used at once, all of them once. */
+    @Test
+    void machinesThatComeUpAtOnceAreUsedAtOnce() {
+        setBootSeconds(BOOT_SECONDS / 20);
+        cluster.cloud().stopLists();
+        acceptService(JOB, "blue", 3, GPUS);
+        cluster.run(8);
+        assertEquals(3, cluster.running(JOB));
+        assertEquals(MACHINES + 3, cluster.cloud().everRented());
+        assertEachTaskStartedOnce(JOB, 3);
+    }
+}
--- a/src/test/java/org/springmill/control/coordination/MetricsTest.java
+++ b/src/test/java/org/springmill/control/coordination/MetricsTest.java
@@ -24,6 +24,7 @@
             Set.of(
                     "springmill_claims_committed_total",
                     "springmill_job_records_moved_total",
+                    "springmill_jobs_suspected_total",
                     "springmill_attempts_ended_total",
                     "springmill_attempts_lost_total",
                     "springmill_submissions_refused_memory_total",
--- a/src/test/java/org/springmill/sim/SimCloud.java
+++ b/src/test/java/org/springmill/sim/SimCloud.java
@@ -33,6 +33,8 @@
     private final Map<String, SimWorker> machines = new LinkedHashMap<>();
     private final Map<String, SimWorker> machinesByAddress = new HashMap<>();
     private final Map<String, ArrayNode> rentals = new HashMap<>();
+    private final Map<String, Double> rentedAt = new HashMap<>();
+    private final Map<String, Double> bootSecondsByZone = new HashMap<>();
     private int named;
     private final Set<String> emptyZones = new HashSet<>();
 
@@ -58,6 +60,16 @@
         emptyZones.clear();
     }
 
+    /** Machines rented in a zone from now on boot in that time; infinite for never. */
+    public void setBootSeconds(String zone, double seconds) {
+        bootSecondsByZone.put(zone, seconds);
+    }
+
+    /** How many machines there have been, gone ones included. */
+    public int everRented() {
+        return named;
+    }
+
     /** From now on lists tell what is true at this moment. */
     public void stopLists() {
         lateList = list();
@@ -95,8 +107,11 @@
         SimWorker worker =
                 new SimWorker(cluster, name, "10.1.0." + named + ":9000", type, zone, spot);
         machines.put(name, worker);
+        rentedAt.put(name, cluster.clock().now());
         machinesByAddress.put(worker.address(), worker);
-        cluster.clock().after(bootSeconds, worker::boot);
+        if (bootSeconds < Double.POSITIVE_INFINITY) {
+            cluster.clock().after(bootSeconds, worker::boot);
+        }
         return worker;
     }
 
@@ -156,7 +171,7 @@
                                 .put("yard", m.zone())
                                 .put("loaner", m.spot())
                                 .put("phase", m.up() ? "running" : "starting")
-                                .put("heldS", 1.0));
+                                .put("heldS", cluster.clock().now() - rentedAt.get(name)));
         return out;
     }
 
@@ -167,13 +182,15 @@
                 return SimState.reply(503, JSON.createObjectNode().put("error", "no capacity"));
             }
             ArrayNode rented = JSON.createArrayNode();
+            double bootSeconds =
+                    bootSecondsByZone.getOrDefault(body.path("yard").asText(), BOOT_SECONDS);
             for (int i = 0; i < body.path("count").asInt(); i++) {
                 rented.add(
                         add(
                                         body.path("frame").asText(),
                                         body.path("yard").asText(),
                                         body.path("loaner").asBoolean(),
-                                        BOOT_SECONDS)
+                                        bootSeconds)
                                 .name());
             }
             rentals.put(name, rented);
--- a/src/test/java/org/springmill/sim/SimOptions.java
+++ b/src/test/java/org/springmill/sim/SimOptions.java
@@ -59,6 +59,7 @@
                         idleBoots,
                         operator.bootPatience(),
                         operator.reserve(),
+                        operator.unguaranteedPriceRatio(),
                         operator.pendingSubmissions(),
                         historyRetention,
                         maxWait,
--- a/src/test/java/org/springmill/sim/SimWorker.java
+++ b/src/test/java/org/springmill/sim/SimWorker.java
@@ -308,7 +308,7 @@
                     task.phase = "running";
                     cluster.started(this, task);
                     report();
-                    double runSeconds = failing ? 0.1 : cluster.runSeconds(task.id);
+                    double runSeconds = fails(task) ? 0.1 : cluster.runSeconds(task.id);
                     if (runSeconds < Double.POSITIVE_INFINITY) {
                         whenAwake(runSeconds, () -> finish(key, task));
                     }
@@ -335,14 +335,19 @@
 
     private void finish(String key, Task task) {
         if (tasks.get(key) == task && task.phase.equals("running")) {
-            end(task, failing ? "error" : "done");
-            if (!failing) {
+            boolean failed = fails(task);
+            end(task, failed ? "error" : "done");
+            if (!failed) {
                 cluster.done(task.id);
             }
             report();
         }
     }
 
+    private boolean fails(Task task) {
+        return failing || cluster.isBroken(task.id);
+    }
+
     private static void end(Task task, String cause) {
         task.phase = "ended";
         task.cause = cause;
--- a/src/test/java/org/springmill/sim/SimulatedCluster.java
+++ b/src/test/java/org/springmill/sim/SimulatedCluster.java
@@ -4,9 +4,11 @@
 import com.fasterxml.jackson.databind.ObjectMapper;
 import com.fasterxml.jackson.databind.node.ObjectNode;
 import java.util.HashMap;
+import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.OptionalDouble;
+import java.util.Set;
 import java.util.SplittableRandom;
 import java.util.function.Consumer;
 import org.springmill.protocol.Settings;
@@ -34,6 +36,7 @@
     private final SimUsers users;
     private final Map<String, Double> runSeconds = new HashMap<>();
     private final Map<String, Integer> starts = new HashMap<>();
+    private final Set<String> brokenJobs = new HashSet<>();
     private double imageFetchSeconds = IMAGE_FETCH_SECONDS;
     private SimOptions options;
     private int incarnations;
@@ -195,6 +198,19 @@
         runSeconds.put(task, seconds);
     }
 
+    /** From now on every task of a job fails wherever it runs, or none does any more. */
+    public void setBroken(String job, boolean broken) {
+        if (broken) {
+            brokenJobs.add(job);
+        } else {
+            brokenJobs.remove(job);
+        }
+    }
+
+    boolean isBroken(String task) {
+        return brokenJobs.contains(JobHistories.jobOf(task));
+    }
+
     double runSeconds(String task) {
         double ofItsJob =
                 runSeconds.getOrDefault(JobHistories.jobOf(task), Double.POSITIVE_INFINITY);
@@ -334,6 +350,14 @@
         return starts.getOrDefault(task, 0);
     }
 
+    /** How often tasks of a job were started. */
+    public int startsOfJob(String job) {
+        return starts.entrySet().stream()
+                .filter(entry -> entry.getKey().startsWith(job + "/"))
+                .mapToInt(Map.Entry::getValue)
+                .sum();
+    }
+
     /** How many tasks of a job are on machines. */
     public int running(String job) {
         return (int)
