A controller that stood still proves its leadership and freshness anew before it acts

Need: on waking from a pause a leader whose lease by its own clock still ran answered, placed and judged silence from what was known before; a read begun before the pause answered questions after it; a controller took its own pause for isolation. Change: PauseDetector looks at the clock at the beginning of every turn of the event loop. After more than half of the leader's lease without a turn, leadership is in doubt until a renewal sent since is answered, reads and confirmations asked for before count no longer, and silence counts from the waking.

--- a/src/main/java/org/springmill/control/coordination/Controller.java
+++ b/src/main/java/org/springmill/control/coordination/Controller.java
@@ -48,6 +48,7 @@
     private final Settings settings;
     private final Timing timing;
     private final StateStore store;
+    private final PauseDetector pauses;
     private final JobDirectory directory;
     private final MachineTypeCatalog catalog;
     private final Peers peers;
@@ -66,6 +67,8 @@
     /** Empty unless the operators have switched the bounded history on. */
     private final Optional<HistoryMembers> historyMembers;
 
+    private double resumedAt = Double.NEGATIVE_INFINITY;
+
     /** Null while this controller does not lead. */
     private Leader leader;
 
@@ -76,16 +79,17 @@
      */
     public Controller(
             Settings settings,
-            Loop loop,
-            HttpClient http,
-            PeerLink link,
+            Loop bareLoop,
+            HttpClient bareHttp,
+            PeerLink bareLink,
             SplittableRandom random,
             double heapBytes) {
         this.settings = settings;
-        this.loop = loop;
-        this.http = http;
-
         timing = Timing.of(settings);
+        pauses = new PauseDetector(bareLoop, timing.pauseSeconds());
+        loop = pauses.watch(bareLoop);
+        http = pauses.watch(bareHttp);
+        PeerLink link = pauses.watch(bareLink);
         metrics = new Metrics(loop);
         remoteProgress = new RemoteProgress(loop, timing);
         unservedWorkers = new UnservedWorkers(loop, timing);
@@ -112,6 +116,7 @@
                         ? Optional.of(historyMembers())
                         : Optional.empty();
 
+        pauses.onResume(this::resumed);
         directory.onChange(this::jobChanged);
         directory.onForget(id -> live.ended(id, loop.now()));
         peers.onProgress(remoteProgress::receive);
@@ -218,6 +223,7 @@
     /** Begins to talk to the state service, the cloud and the other controllers. */
     public void start() {
         LOG.info("controller {} in {} starts", settings.node(), settings.zone());
+        pauses.start();
         peers.start();
         // First who leads, for workers wait for that; reading all jobs takes longer.
         leadership.start();
@@ -227,8 +233,21 @@
         historyMembers.ifPresent(HistoryMembers::register);
     }
 
+    /** This controller stood still: nothing that it knew of others before is known still. */
+    private void resumed() {
+        resumedAt = loop.now();
+        directory.resumed();
+        peers.resumed();
+        leaseKeepalive.resumed();
+        leadership.resumed();
+        if (leader != null) {
+            leader.resumed();
+        }
+    }
+
     @Override
     public void handle(Call call) {
+        pauses.turn();
         String path = call.path();
         if (path.equals(WorkerMessages.REPORT)) {
             handleReport(call);
@@ -285,7 +304,8 @@
     }
 
     private boolean lacksStateService() {
-        return !store.reachable() && loop.now() - store.lastServed() > timing.leaderTtlS() / 2;
+        double lastServed = Math.max(store.lastServed(), resumedAt);
+        return !store.reachable() && loop.now() - lastServed > timing.leaderTtlS() / 2;
     }
 
     /**
@@ -295,7 +315,7 @@
      */
     private boolean isolated() {
         double lastHeard = Math.max(store.lastServed(), peers.lastHeard());
-        return loop.now() - lastHeard > timing.leaseS();
+        return loop.now() - Math.max(lastHeard, resumedAt) > timing.leaseS();
     }
 
     /** What this controller tells the others of itself; {@link Peers} fills in the numbers. */
--- a/src/main/java/org/springmill/control/coordination/JobDirectory.java
+++ b/src/main/java/org/springmill/control/coordination/JobDirectory.java
@@ -95,6 +95,11 @@
         feed.start();
     }
 
+    /** Notes that this controller stood still; see {@link JobRecordFeed#resumed}. */
+    void resumed() {
+        feed.resumed();
+    }
+
     /** Whether all records were read once. */
     boolean loaded() {
         return feed.loaded();
--- a/src/main/java/org/springmill/control/coordination/JobRecordFeed.java
+++ b/src/main/java/org/springmill/control/coordination/JobRecordFeed.java
@@ -29,6 +29,7 @@
     private List<Consumer<Boolean>> waitingBarriers = new ArrayList<>();
     private boolean reading;
     private boolean loaded;
+    private int pauses;
     private long cursor;
     private double currentAt = Double.NEGATIVE_INFINITY;
 
@@ -133,8 +134,17 @@
         }
     }
 
+    /**
+     * Notes that this controller stood still. What it had asked for before is too old to answer
+     * anyone with, and is asked for again.
+     */
+    void resumed() {
+        pauses++;
+    }
+
     private void readForBarriers() {
         reading = true;
+        int pausesBefore = pauses;
         List<Consumer<Boolean>> served = waitingBarriers;
         waitingBarriers = new ArrayList<>();
         double askedAt = loop.now();
@@ -148,7 +158,11 @@
                         currentAt = Math.max(currentAt, askedAt);
                         take(result.changes());
                     }
-                    served.forEach(barrier -> barrier.accept(read));
+                    if (read && pauses > pausesBefore) {
+                        waitingBarriers.addAll(0, served);
+                    } else {
+                        served.forEach(barrier -> barrier.accept(read));
+                    }
                     loop.after(barrierIntervalS, this::readForWaitingBarriers);
                 });
     }
--- a/src/main/java/org/springmill/control/coordination/Leader.java
+++ b/src/main/java/org/springmill/control/coordination/Leader.java
@@ -54,7 +54,6 @@
     /** Empty unless the operators have switched the bounded history on. */
     private final Optional<HistoryMover> history;
 
-    private double tickedAt;
     private boolean rebuilt;
     private boolean closed;
 
@@ -243,7 +242,6 @@
             jobEnds.finishIfComplete(job);
         }
         rounds.request();
-        tickedAt = loop.now();
         tick();
         broadcast.start();
         cancellations.run();
@@ -255,14 +253,6 @@
         if (closed) {
             return;
         }
-        double now = loop.now();
-        if (now - tickedAt > timing.reportS() / 2) {
-            // This controller stood still, or had no processor time: what it did not read meanwhile
-            // was no silence.
-            LOG.info("nothing was done for {} s", Math.round(now - tickedAt));
-            rentals.stoodStill();
-        }
-        tickedAt = now;
         loop.after(timing.reportS() / 8, this::tick);
         leadership.state();
         if (closed) {
@@ -320,6 +310,11 @@
         }
     }
 
+    /** Notes that this controller stood still: what it did not read meanwhile was no silence. */
+    void resumed() {
+        rentals.stoodStill();
+    }
+
     private void wake() {
         if (!closed && rebuilt) {
             rounds.request();
--- a/src/main/java/org/springmill/control/coordination/Leadership.java
+++ b/src/main/java/org/springmill/control/coordination/Leadership.java
@@ -69,6 +69,10 @@
      */
     private long vacantAt;
 
+    /** When the last renewal that was answered had been sent. */
+    private double provenAt = Double.NEGATIVE_INFINITY;
+
+    private double resumedAt = Double.NEGATIVE_INFINITY;
     private boolean renewing;
     private boolean recordRead;
 
@@ -158,7 +162,25 @@
      */
     boolean mayAnswer() {
         check();
-        return holdsTerm() && (withinGrace() || outageConfirmed());
+        return holdsTerm() && ((withinGrace() && !unproven()) || outageConfirmed());
+    }
+
+    /** Whether this controller stood still, and has not proven since that it still leads. */
+    private boolean unproven() {
+        return provenAt < resumedAt;
+    }
+
+    /**
+     * Notes that this controller stood still. However long its lease had to run, it acts as leader
+     * only once a renewal, sent since, has been answered.
+     */
+    void resumed() {
+        resumedAt = loop.now();
+        check();
+        if (holdsTerm()) {
+            transition(State.DOUBTING);
+            renew();
+        }
     }
 
     private boolean withinGrace() {
@@ -279,7 +301,10 @@
         switch (result) {
             case RENEWED -> {
                 validUntil = Math.max(validUntil, sentAt + timing.leaderTtlS());
-                if (state == State.DOUBTING && loop.now() < validUntil) {
+                provenAt = sentAt;
+                if (unproven()) {
+                    renew();
+                } else if (state == State.DOUBTING && loop.now() < validUntil) {
                     transition(State.LEADING);
                 }
             }
@@ -339,6 +364,7 @@
         }
         lease = granted;
         validUntil = askedAt + timing.leaderTtlS();
+        provenAt = askedAt;
         Condition noLeader = new Condition(LeaderRecord.KEY, 0);
         JsonNode record = LeaderRecord.encode(settings, incarnation);
         Write takeOffice = new Write(LeaderRecord.KEY, record, granted);
@@ -368,6 +394,10 @@
         knownLeader = settings.node();
         vacantAt = 0;
         transition(State.LEADING);
+        if (unproven()) {
+            transition(State.DOUBTING);
+            renew();
+        }
     }
 
     private void changed(Change change) {
--- a/src/main/java/org/springmill/control/coordination/LeaseKeepalive.java
+++ b/src/main/java/org/springmill/control/coordination/LeaseKeepalive.java
@@ -30,6 +30,7 @@
     /** Zones whose workers came here while it has been isolated. */
     private final Set<String> zones = new HashSet<>();
 
+    private double resumedAt = Double.NEGATIVE_INFINITY;
     private double reachedByUsersAt = Double.NEGATIVE_INFINITY;
 
     LeaseKeepalive(
@@ -102,7 +103,13 @@
             firstTokens.clear();
             zones.clear();
         }
-        return loop.now() - lastHeardAt > timing.confirmationValiditySeconds();
+        double silentSince = Math.max(lastHeardAt, resumedAt);
+        return loop.now() - silentSince > timing.confirmationValiditySeconds();
+    }
+
+    /** Notes that this controller stood still, so that it could have heard nobody. */
+    void resumed() {
+        resumedAt = loop.now();
     }
 
     /** Users, or the load balancer, reached this controller. */
--- /dev/null
+++ b/src/main/java/org/springmill/control/coordination/PauseDetector.java
@@ -0,0 +1,130 @@
+package org.springmill.control.coordination;
+
+import java.util.ArrayList;
+import java.util.List;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
+import org.springmill.transport.HttpClient;
+import org.springmill.transport.Loop;
+import org.springmill.transport.PeerLink;
+
+/**
+ * Notices that this controller stood still while its clock ran on: its host was paused, or gave it
+ * no processor time. What was true before has to be proven again, and what was not read meanwhile
+ * was nobody's silence. Every turn of the event loop passes through here first, so that nothing
+ * that came in during a pause is looked at before the listeners know of the pause.
+ */
+final class PauseDetector {
+    private static final Logger LOG = LoggerFactory.getLogger(PauseDetector.class);
+
+    /** A timer keeps turns coming; it may fire late without that being taken for a pause. */
+    private static final double TURNS_PER_BOUND = 4;
+
+    private final Loop loop;
+    private final double boundSeconds;
+    private final List<Runnable> listeners = new ArrayList<>();
+    private double lastTurnAt;
+
+    /**
+     * @param boundSeconds a longer time without a turn is a pause
+     */
+    PauseDetector(Loop loop, double boundSeconds) {
+        this.loop = loop;
+        this.boundSeconds = boundSeconds;
+        lastTurnAt = loop.now();
+    }
+
+    /** Has a listener told of each pause, once it is over and before anything else is done. */
+    void onResume(Runnable listener) {
+        listeners.add(listener);
+    }
+
+    /** Begins to watch: until then the controller is still being put together. */
+    void start() {
+        lastTurnAt = loop.now();
+        beat();
+    }
+
+    private void beat() {
+        turn();
+        loop.after(boundSeconds / TURNS_PER_BOUND, this::beat);
+    }
+
+    /** Called at the beginning of each turn of the event loop. */
+    void turn() {
+        double now = loop.now();
+        double gap = now - lastTurnAt;
+        lastTurnAt = now;
+        if (gap > boundSeconds) {
+            LOG.info("nothing was done for {} s", Math.round(gap));
+            listeners.forEach(Runnable::run);
+        }
+    }
+
+    /** A loop whose tasks begin with a look for a pause. */
+    Loop watch(Loop watched) {
+        return new Loop() {
+            @Override
+            public double now() {
+                return watched.now();
+            }
+
+            @Override
+            public double timeOfDay() {
+                return watched.timeOfDay();
+            }
+
+            @Override
+            public Timer after(double seconds, Runnable task) {
+                return watched.after(
+                        seconds,
+                        () -> {
+                            turn();
+                            task.run();
+                        });
+            }
+        };
+    }
+
+    /** A client whose answers begin with a look for a pause. */
+    HttpClient watch(HttpClient watched) {
+        return (request, done) ->
+                watched.send(
+                        request,
+                        reply -> {
+                            turn();
+                            done.accept(reply);
+                        });
+    }
+
+    /** A link whose records begin with a look for a pause. */
+    PeerLink watch(PeerLink watched) {
+        return new PeerLink() {
+            @Override
+            public void send(String node, byte[] record) {
+                watched.send(node, record);
+            }
+
+            @Override
+            public void onRecord(Listener listener) {
+                watched.onRecord(watch(listener));
+            }
+        };
+    }
+
+    private PeerLink.Listener watch(PeerLink.Listener watched) {
+        return new PeerLink.Listener() {
+            @Override
+            public void received(byte[] record) {
+                turn();
+                watched.received(record);
+            }
+
+            @Override
+            public void refused(String node) {
+                turn();
+                watched.refused(node);
+            }
+        };
+    }
+}
--- a/src/main/java/org/springmill/control/coordination/PeerConfirmations.java
+++ b/src/main/java/org/springmill/control/coordination/PeerConfirmations.java
@@ -25,6 +25,7 @@
     private final Timing timing;
     private final Set<String> nodes;
     private final Map<String, Answer> answers = new HashMap<>();
+    private double countFrom = Double.NEGATIVE_INFINITY;
 
     /** A peer's answer, with the time of the question and that of the answer on this clock. */
     record Answer(double askedAt, double receivedAt, Status status) {}
@@ -148,7 +149,14 @@
         return answer.receivedAt() - agoSeconds + maxDriftSeconds;
     }
 
+    /** From now on only answers to questions asked since then confirm anything. */
+    void countFrom(double time) {
+        countFrom = time;
+    }
+
     private boolean isRecent(Answer answer) {
-        return answer != null && loop.now() - answer.askedAt() < timing.confirmS();
+        return answer != null
+                && answer.askedAt() >= countFrom
+                && loop.now() - answer.askedAt() < timing.confirmS();
     }
 }
--- a/src/main/java/org/springmill/control/coordination/Peers.java
+++ b/src/main/java/org/springmill/control/coordination/Peers.java
@@ -63,6 +63,7 @@
 
     private double lastLeaderHeardAt;
     private double lastHeardAt;
+    private double resumedAt = Double.NEGATIVE_INFINITY;
     private double keepsLeasesForNewLeaderUntil = Double.NEGATIVE_INFINITY;
     private long lastQuestion;
     private long highestTerm;
@@ -116,6 +117,16 @@
         onCongested = taker;
     }
 
+    /**
+     * Notes that this controller stood still: it may have missed every answer, and what was
+     * confirmed to it before counts no longer.
+     */
+    void resumed() {
+        resumedAt = loop.now();
+        lastLeaderHeardAt = Math.max(lastLeaderHeardAt, resumedAt);
+        confirmations.countFrom(resumedAt);
+    }
+
     /**
      * Told of a node that refuses connections and has not answered for some time, with its last
      * status, if that was that it leads. One that never said so in its present term may merely be
@@ -261,7 +272,8 @@
     }
 
     private boolean isOverdue(Answer latest) {
-        return loop.now() - latest.askedAt() > MAX_UNANSWERED_QUESTIONS * timing.pingS();
+        double since = Math.max(latest.askedAt(), resumedAt);
+        return loop.now() - since > MAX_UNANSWERED_QUESTIONS * timing.pingS();
     }
 
     /** See {@link PeerConfirmations#allConfirmOutage}. */
--- a/src/main/java/org/springmill/control/coordination/Timing.java
+++ b/src/main/java/org/springmill/control/coordination/Timing.java
@@ -82,6 +82,14 @@
         return 2 * confirmS;
     }
 
+    /**
+     * A controller that did nothing for so long stood still. Half of its lease as leader: shorter
+     * pauses leave time to prove that it still leads.
+     */
+    double pauseSeconds() {
+        return leaderTtlS / 2;
+    }
+
     /**
      * How long other controllers keep the leases of workers that come to them after a new leader
      * was heard of.
--- /dev/null
+++ b/src/test/java/org/springmill/control/coordination/ControllerPauseTest.java
@@ -0,0 +1,144 @@
+package org.springmill.control.coordination;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertNotEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import java.nio.charset.StandardCharsets;
+import java.util.ArrayList;
+import java.util.List;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
+import org.springmill.sim.SimulatedCluster;
+import org.springmill.transport.HttpClient.Reply;
+
+/**
+ * Controllers that stand still while their clocks run on. The leader's lease is 2.8 s, a worker's
+ * 14 s. Whoever wakes finds everything queued that was sent to it meanwhile.
+ */
+class ControllerPauseTest extends ClusterFixture {
+    private static final int TASKS = 6;
+    private static final double LEASE_SECONDS = 14;
+
+    @BeforeEach
+    void start() {
+        startCluster(31);
+        cluster.polled();
+        acceptService(JOB, "blue", TASKS, 1);
+        cluster.run(10);
+        assertEquals(TASKS, cluster.running(JOB));
+    }
+
+    /** Less and more than each lease and timeout, as leader. */
+    @ParameterizedTest
+    @ValueSource(doubles = {0.5, 1, 1.5, 2, 2.7, 2.9, 4, 5.7, 8, 13, 16, 30})
+    void leaderThatStandsStillLosesNoTaskAndStartsNoneTwice(double seconds) {
+        int leader = cluster.leader();
+        cluster.freeze(leader, seconds);
+        cluster.submit((leader + 1) % CONTROLLERS, array(OTHER), 3);
+        cluster.run(seconds + 25);
+
+        assertEquals(TASKS, cluster.running(JOB));
+        assertEachTaskStartedOnce(JOB, TASKS);
+        assertEquals("done", cluster.phase(leader, OTHER));
+        assertEquals("done", cluster.phase((leader + 1) % CONTROLLERS, OTHER));
+    }
+
+    /** The same as a follower, and all at once. */
+    @ParameterizedTest
+    @ValueSource(doubles = {1, 2, 4, 8, 12})
+    void allControllersMayStandStillForLessThanAWorkersLease(double seconds) {
+        for (int i = 0; i < CONTROLLERS; i++) {
+            cluster.freeze(i, seconds);
+        }
+        cluster.run(seconds + LEASE_SECONDS);
+        assertEquals(TASKS, cluster.running(JOB));
+        assertEachTaskStartedOnce(JOB, TASKS);
+    }
+
+    /** Two pauses close together, the second while the first is being recovered from. */
+    @ParameterizedTest
+    @ValueSource(doubles = {0.05, 0.3, 0.7, 1.5, 3})
+    void leaderMayStandStillAgainJustAfterItWoke(double awake) {
+        int leader = cluster.leader();
+        cluster.freeze(leader, 4);
+        cluster.run(4 + awake);
+        cluster.freeze(leader, 3);
+        cluster.run(40);
+        assertEquals(TASKS, cluster.running(JOB));
+        assertEachTaskStartedOnce(JOB, TASKS);
+    }
+
+    /**
+     * Guards against an answer from what was read before the pause: the read had been sent when the
+     * question came, and its answer waited for the controller to wake, while another controller
+     * told the user that the job is cancelled.
+     */
+    @Test
+    void questionThatWaitedThroughAPauseIsNotAnsweredFromBeforeIt() {
+        int follower = follower();
+        List<String> answers = new ArrayList<>();
+        cluster.user(
+                follower,
+                "GET",
+                "/submissions/" + JOB,
+                "",
+                FOREVER,
+                reply -> answers.add(new String(reply.body(), StandardCharsets.UTF_8)));
+        cluster.freeze(follower, 6);
+        cluster.run(1);
+        assertEquals("cancelled", cluster.withdraw(cluster.leader(), JOB));
+        cluster.run(10);
+        assertEquals(1, answers.size());
+        assertTrue(answers.get(0).contains("cancelled"), answers.get(0));
+    }
+
+    /** Guards against a leader that acts on a lease it has slept through, before it has renewed. */
+    @Test
+    void reportsThatWaitedThroughAPauseRenewNoLeaseBeforeTheLeaderHasProvenItself() {
+        int leader = cluster.leader();
+        cluster.network().cutFromState("n-" + leader);
+        List<Integer> statuses = new ArrayList<>();
+        cluster.freeze(leader, 2.5);
+        String report =
+                "{\"stone\":\"host-000001\",\"addr\":\"10.1.0.1:9000\","
+                        + "\"frame\":\"large\",\"yard\":\"a\",\"loaner\":false,\"shift\":1,"
+                        + "\"tally\":1,\"baton\":1,\"warningS\":null,\"sacks\":[]}";
+        cluster.user(
+                leader,
+                "POST",
+                "/v1/report",
+                report,
+                FOREVER,
+                (Reply reply) -> statuses.add(reply.status()));
+        cluster.run(2.6);
+        assertEquals(1, statuses.size());
+        assertNotEquals(200, statuses.get(0));
+        cluster.calm();
+        cluster.run(LEASE_SECONDS);
+        assertEquals(TASKS, cluster.running(JOB));
+    }
+
+    /** A pause of the leader while the state service is out. */
+    @ParameterizedTest
+    @ValueSource(doubles = {2, 5, 9})
+    void leaderMayStandStillInAnOutageOfTheStateService(double seconds) {
+        int leader = cluster.leader();
+        cluster.state().setDown(true);
+        cluster.run(3);
+        cluster.freeze(leader, seconds);
+        cluster.run(seconds + 5);
+        cluster.state().setDown(false);
+        cluster.calm();
+        cluster.run(25);
+        assertEquals(TASKS, cluster.running(JOB));
+        assertEachTaskStartedOnce(JOB, TASKS);
+    }
+
+    private static ObjectNode array(String id) {
+        return SimulatedCluster.job(id, "red", "sweep", 4, 1, 1);
+    }
+}
--- a/src/test/java/org/springmill/sim/SimController.java
+++ b/src/test/java/org/springmill/sim/SimController.java
@@ -1,5 +1,7 @@
 package org.springmill.sim;
 
+import java.util.ArrayDeque;
+import java.util.Queue;
 import java.util.SplittableRandom;
 import java.util.function.Consumer;
 import org.springmill.control.coordination.Controller;
@@ -20,7 +22,9 @@
     private final SimPeerNetwork peerNetwork;
     private final Controller controller;
     private Listener listener;
+    private final Queue<Runnable> missed = new ArrayDeque<>();
     private boolean stopped;
+    private boolean frozen;
 
     SimController(
             int number,
@@ -43,6 +47,28 @@
         stopped = true;
     }
 
+    /** Does nothing for some time, while its clock runs on; then all that came in, in order. */
+    void freeze(double seconds) {
+        frozen = true;
+        clock.after(seconds, this::thaw);
+    }
+
+    private void thaw() {
+        frozen = false;
+        while (!missed.isEmpty() && !stopped) {
+            missed.poll().run();
+        }
+    }
+
+    /** Runs what the process does on an event, now or once it does anything again. */
+    private void act(Runnable action) {
+        if (frozen) {
+            missed.add(action);
+        } else if (!stopped) {
+            action.run();
+        }
+    }
+
     String name() {
         return SimSettings.controllerName(number);
     }
@@ -53,7 +79,7 @@
     }
 
     void handle(Request request, Consumer<Reply> done) {
-        controller.handle(new SimCall(request, done));
+        act(() -> controller.handle(new SimCall(request, done)));
     }
 
     @Override
@@ -69,25 +95,12 @@
 
     @Override
     public Timer after(double seconds, Runnable task) {
-        return clock.after(
-                seconds,
-                () -> {
-                    if (!stopped) {
-                        task.run();
-                    }
-                });
+        return clock.after(seconds, () -> act(task));
     }
 
     @Override
     public void send(Request request, Consumer<Reply> done) {
-        network.send(
-                name(),
-                request,
-                reply -> {
-                    if (!stopped) {
-                        done.accept(reply);
-                    }
-                });
+        network.send(name(), request, reply -> act(() -> done.accept(reply)));
     }
 
     @Override
@@ -97,7 +110,18 @@
 
     @Override
     public void onRecord(Listener taker) {
-        listener = taker;
+        listener =
+                new Listener() {
+                    @Override
+                    public void received(byte[] record) {
+                        act(() -> taker.received(record));
+                    }
+
+                    @Override
+                    public void refused(String node) {
+                        act(() -> taker.refused(node));
+                    }
+                };
     }
 
     /** A request that the simulated network delivers, and where its response goes. */
--- a/src/test/java/org/springmill/sim/SimulatedCluster.java
+++ b/src/test/java/org/springmill/sim/SimulatedCluster.java
@@ -143,6 +143,11 @@
         controllers[controller] = newController(controller);
     }
 
+    /** A controller stands still while its clock runs on. */
+    public void freeze(int controller, double seconds) {
+        controllers[controller].freeze(seconds);
+    }
+
     /** The number of the controller whose leadership is on record, or -1. */
     public int leader() {
         JsonNode record = state.value("leader");
