Rental: tasks that run count towards the room that short tasks of their job use next

Cause: room was sought for all short tasks that wait as if what runs of the job would never end: 36 machines where 20 do. Change: slots for the whole of what is left, less what runs. UnguaranteedWorkTest: a large array of short tasks and a swarm across a change of leader, and a guest that uses what is left over and makes way.

--- a/src/main/java/org/springmill/control/coordination/RentalPlanner.java
+++ b/src/main/java/org/springmill/control/coordination/RentalPlanner.java
@@ -153,7 +153,7 @@
      * that are reserved for another job.
      */
     private void pack(Job job, DemandPacking packing, double now) {
-        int tasks = slots(job.spec(), Math.min(job.startable(), tasksWithinLimit(job)));
+        int tasks = slots(job, Math.min(job.startable(), tasksWithinLimit(job)));
         Submission spec = job.spec().oneZone() ? inOneZone(job, tasks, packing) : job.spec();
         ZoneCounts tasksPerZone = new ZoneCounts();
         job.attempts().forEach(attempt -> tasksPerZone.add(attempt.machine().zone()));
@@ -175,16 +175,20 @@
     }
 
     /**
-     * How many tasks have to run at once for all of them to have run within a boot. Tasks that are
-     * shorter than that follow each other in the same room: a machine for each of some ten thousand
-     * short tasks would come up when most of them are done.
+     * For how many waiting tasks room has to be found, so that all of the job's have run within a
+     * boot. Tasks that are shorter than that follow each other in the same room: a machine for each
+     * of some ten thousand short tasks would come up when most of them are done.
      */
-    private int slots(Submission spec, int tasks) {
+    private int slots(Job job, int waiting) {
+        Submission spec = job.spec();
         double bootSeconds = fleet.catalog().slowestBootSeconds();
         boolean shorterThanABoot = spec.estimateS() > 0 && spec.estimateS() < bootSeconds;
-        return spec.service() || spec.gang() || !shorterThanABoot
-                ? tasks
-                : (int) Math.ceil(tasks * spec.estimateS() / bootSeconds);
+        if (spec.service() || spec.gang() || !shorterThanABoot) {
+            return waiting;
+        }
+        int running = job.liveCount();
+        double atOnce = (waiting + running) * spec.estimateS() / bootSeconds;
+        return Math.max(0, Math.min(waiting, (int) Math.ceil(atOnce) - running));
     }
 
     private boolean isExcluded(Machine machine, Job job, double now) {
--- /dev/null
+++ b/src/test/java/org/springmill/control/coordination/UnguaranteedWorkTest.java
@@ -0,0 +1,89 @@
+package org.springmill.control.coordination;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+import org.springmill.sim.SimulatedCluster;
+
+/**
+ * Work of a team without a guarantee: one large array of short tasks, a swarm of one-task jobs,
+ * work for idle time. The cluster has four machines of 32 CPUs and 8 GPUs at 10 an hour; small ones
+ * of 4 CPUs at 0.2 can be rented, and boot in 20 s.
+ */
+class UnguaranteedWorkTest extends ClusterFixture {
+    private static final String GUEST = "guest";
+    private static final double TASK_CPUS = 0.25;
+    private static final int SHORT_TASKS = 1600;
+    private static final double SHORT_SECONDS = 4;
+
+    @BeforeEach
+    void start() {
+        startCluster(41);
+    }
+
+    private static ObjectNode guestArray(String id, int tasks, double seconds) {
+        return SimulatedCluster.job(id, GUEST, "sweep", tasks, TASK_CPUS, 0)
+                .put("urgency", "best_effort")
+                .put("memGb", 0.1)
+                .put("expectS", seconds);
+    }
+
+    /** Guards against a machine for every sixteen tasks that are over in four seconds. */
+    @Test
+    void shortTasksAreRentedForByTheTimeThatTheyTake() {
+        // The four machines are full, so that all of it runs on rented ones.
+        accept(SimulatedCluster.job(OTHER, "blue", "service", 4, 32, 8), FOREVER);
+        cluster.run(5);
+        accept(guestArray(JOB, SHORT_TASKS, SHORT_SECONDS), SHORT_SECONDS);
+        cluster.run(40);
+        cluster.kill(cluster.leader());
+        cluster.run(120);
+        assertEquals("done", cluster.phase(follower(), JOB));
+        int rented = cluster.cloud().everRented() - 4;
+        double slots = SHORT_TASKS * SHORT_SECONDS / 20;
+        assertTrue(rented <= Math.ceil(slots * TASK_CPUS / 4) + 2, rented + " machines rented");
+    }
+
+    /** A guest uses what others leave over, and makes way at once for what they are owed. */
+    @Test
+    void guestUsesWhatIsLeftOverAndMakesWay() {
+        cluster.cloud().runOut();
+        acceptService(JOB, "blue", 4, 4);
+        cluster.run(5);
+        accept(guestArray(OTHER, 2000, 60), 60);
+        cluster.run(10);
+        assertTrue(cluster.running(OTHER) >= 100, "on the machines that blue's replicas hold");
+
+        accept(
+                SimulatedCluster.job("run-000003", "red", "service", 1, 30, 4)
+                        .put("urgency", "prod"),
+                FOREVER);
+        cluster.run(8);
+        assertEquals(1, cluster.running("run-000003"));
+        assertEquals(4, cluster.running(JOB));
+    }
+
+    /** Guards against a swarm that starves or is run twice when the leader ends in between. */
+    @Test
+    void swarmOfOneTaskJobsEndsAcrossAChangeOfLeader() {
+        int jobs = 120;
+        for (int i = 0; i < jobs; i++) {
+            int controller = i % CONTROLLERS;
+            if (i == jobs / 2) {
+                cluster.restart(cluster.leader());
+                cluster.run(6);
+            }
+            String id = String.format("run-%06d", 1000 + i);
+            assertEquals(201, cluster.submit(controller, guestArray(id, 1, 10), 10));
+        }
+        cluster.run(90);
+        for (int i = 0; i < jobs; i++) {
+            String id = String.format("run-%06d", 1000 + i);
+            assertEquals("done", cluster.phase(follower(), id));
+            assertEquals(1, cluster.starts(id + "/0"));
+        }
+    }
+}
