--- a/src/test/java/org/springmill/control/coordination/ControllerPauseTest.java
+++ b/src/test/java/org/springmill/control/coordination/ControllerPauseTest.java
@@ -77,8 +77,9 @@
      * question came, and its answer waited for the controller to wake, while another controller
      * told the user that the job is cancelled.
      */
-    @Test
-    void questionThatWaitedThroughAPauseIsNotAnsweredFromBeforeIt() {
+    @ParameterizedTest
+    @ValueSource(doubles = {0, 0.002, 0.004, 0.006, 0.008, 0.01, 0.012, 0.015, 0.02})
+    void questionThatWaitedThroughAPauseIsNotAnsweredFromBeforeIt(double seconds) {
         int follower = follower();
         List<String> answers = new ArrayList<>();
         cluster.user(
@@ -88,11 +89,16 @@
                 "",
                 FOREVER,
                 reply -> answers.add(new String(reply.body(), StandardCharsets.UTF_8)));
+        cluster.run(seconds);
         cluster.freeze(follower, 6);
         cluster.run(1);
+        boolean answeredBefore = !answers.isEmpty();
         assertEquals("cancelled", cluster.withdraw(cluster.leader(), JOB));
         cluster.run(10);
         assertEquals(1, answers.size());
+        if (answeredBefore) {
+            return;
+        }
         assertTrue(answers.get(0).contains("cancelled"), answers.get(0));
     }
 
@@ -104,7 +110,7 @@
         List<Integer> statuses = new ArrayList<>();
         cluster.freeze(leader, 2.5);
         String report =
-                "{\"stone\":\"host-000001\",\"addr\":\"10.1.0.1:9000\","
+                "{\"stone\":\"host-000099\",\"addr\":\"10.1.0.99:9000\","
                         + "\"frame\":\"large\",\"yard\":\"a\",\"loaner\":false,\"shift\":1,"
                         + "\"tally\":1,\"baton\":1,\"warningS\":null,\"sacks\":[]}";
         cluster.user(
