--- a/src/main/java/org/springmill/control/coordination/RentalPlanner.java
+++ b/src/main/java/org/springmill/control/coordination/RentalPlanner.java
@@ -17,6 +17,12 @@
                     .thenComparingDouble(bin -> bin.kind().type().price())
                     .thenComparingDouble(Bin::freeShare);
 
+    /**
+     * Tasks are short if several of them follow each other within a boot. Where one does, as with
+     * arrays that run for about a boot, half of a job would wait for the other half.
+     */
+    private static final double SHORT_BOOTS = 0.25;
+
     private final Fleet fleet;
     private final Placement placement;
     private final MachineListing listing;
@@ -176,14 +182,14 @@
 
     /**
      * For how many waiting tasks room has to be found, so that all of the job's have run within a
-     * boot. Tasks that are shorter than that follow each other in the same room: a machine for each
-     * of some ten thousand short tasks would come up when most of them are done.
+     * boot. Tasks that are much shorter than that follow each other in the same room: a machine for
+     * each of some ten thousand short tasks would come up when most of them are done.
      */
     private int slots(Job job, int waiting) {
         Submission spec = job.spec();
         double bootSeconds = fleet.catalog().slowestBootSeconds();
-        boolean shorterThanABoot = spec.estimateS() > 0 && spec.estimateS() < bootSeconds;
-        if (spec.service() || spec.gang() || !shorterThanABoot) {
+        boolean isShort = spec.estimateS() > 0 && spec.estimateS() < SHORT_BOOTS * bootSeconds;
+        if (spec.service() || spec.gang() || !isShort) {
             return waiting;
         }
         int running = job.liveCount();
