--- a/src/test/java/org/springmill/sim/SimCloud.java
+++ b/src/test/java/org/springmill/sim/SimCloud.java
@@ -37,6 +37,7 @@
     private final Map<String, Double> bootSecondsByZone = new HashMap<>();
     private int machinesAdded;
     private final Set<String> exhaustedZones = new HashSet<>();
+    private boolean down;
 
     /** The list that all requests get while lists are frozen; null while they are not. */
     private ObjectNode frozenList;
@@ -70,6 +71,11 @@
         return machinesAdded;
     }
 
+    /** From now on the cloud answers every request with 503, or serves requests again. */
+    public void setDown(boolean isDown) {
+        down = isDown;
+    }
+
     /** From now on machine lists show the state at this moment. */
     public void freezeMachineList() {
         frozenList = list();
@@ -117,6 +123,9 @@
 
     Reply handle(Request request) {
         ObjectNode out = JSON.createObjectNode();
+        if (down) {
+            return SimKeyValueStore.reply(503, out.put("error", "trouble"));
+        }
         if (request.path().equals("/machine_types")) {
             ArrayNode frames = out.putArray("frames");
             type(frames, TYPES.get("small"));
--- a/src/test/java/org/springmill/sim/SimulatedCluster.java
+++ b/src/test/java/org/springmill/sim/SimulatedCluster.java
@@ -136,6 +136,11 @@
         return this;
     }
 
+    /** Adds one machine that boots in {@code bootSeconds}. */
+    public SimWorker addMachine(String type, String zone, double bootSeconds) {
+        return cloud.add(type, zone, false, bootSeconds);
+    }
+
     /** Advances the virtual time by {@code seconds}. */
     public SimulatedCluster run(double seconds) {
         clock.run(seconds);
@@ -215,11 +220,15 @@
         peerNetwork.release();
     }
 
-    /** Ends all failures of the networks and the key-value store; a test may start others later. */
+    /**
+     * Ends all failures of the networks, the key-value store and the cloud's API; a test may start
+     * others later.
+     */
     public void heal() {
         network.endFailures();
         store.endFailures();
         peerNetwork.heal();
+        cloud.setDown(false);
     }
 
     /**
