Send starts only while the leader may answer heartbeats

What could be seen: a leader that was paused between the commit of a claim and its answer sent the start on waking, although its lease was in doubt and another controller may have been elected meanwhile. The answer to a heartbeat and the leader's tick ask for the right to act; the dispatch after a committed round, and after the response to a command, did not. Class: a right that had lapsed; a check in one path and not in another.

DueCommands now asks Leadership.mayRespondToWorkers for each start, first sent or repeated.

--- a/src/main/java/org/springmill/control/controller/LeaderFactory.java
+++ b/src/main/java/org/springmill/control/controller/LeaderFactory.java
@@ -65,7 +65,12 @@
         RoundTrigger roundTrigger = new RoundTrigger(lifecycle);
         Reconciliation reconciliation = reconciliation(fleet, roundTrigger);
         CommandDispatcher dispatcher =
-                new CommandDispatcher(fleet, services.http(), timeouts, reconciliation::accept);
+                new CommandDispatcher(
+                        fleet,
+                        services.http(),
+                        timeouts,
+                        reconciliation::accept,
+                        leadership::mayRespondToWorkers);
         HeartbeatHandler heartbeatHandler =
                 new HeartbeatHandler(
                         fleet, reconciliation, dispatcher, directory, loop, timeouts, lifecycle);
--- a/src/main/java/org/springmill/control/workers/CommandDispatcher.java
+++ b/src/main/java/org/springmill/control/workers/CommandDispatcher.java
@@ -1,6 +1,7 @@
 package org.springmill.control.workers;
 
 import java.util.List;
+import java.util.function.BooleanSupplier;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
 import org.springmill.control.cluster.Fleet;
@@ -71,15 +72,21 @@
      * @param http sends the requests
      * @param timeouts the timeout of requests and the interval of heartbeats
      * @param heartbeats receives the heartbeats in responses
+     * @param mayStartTasks whether the leader may act for the controllers now; asking may end its
+     *     term
      */
     public CommandDispatcher(
-            Fleet fleet, HttpClient http, Timeouts timeouts, HeartbeatConsumer heartbeats) {
+            Fleet fleet,
+            HttpClient http,
+            Timeouts timeouts,
+            HeartbeatConsumer heartbeats,
+            BooleanSupplier mayStartTasks) {
         this.fleet = fleet;
         this.http = http;
         this.timeouts = timeouts;
         this.heartbeats = heartbeats;
         resendIntervalSeconds = timeouts.heartbeatIntervalSeconds() / RESENDS_PER_HEARTBEAT;
-        dueCommands = new DueCommands(fleet, resendIntervalSeconds);
+        dueCommands = new DueCommands(fleet, resendIntervalSeconds, mayStartTasks);
     }
 
     /** Sends nothing more, and ignores responses from now on. */
@@ -94,6 +101,9 @@
         }
         boolean epochKnown = machine.epoch() != 0;
         List<Command> commands = epochKnown ? dueCommands(machine) : List.of();
+        if (closed) {
+            return;
+        }
         boolean isProbe = !epochKnown;
         boolean nothingToSend = commands.isEmpty() && !machine.commandChannel().isStatusRequested();
         if (nothingToSend || (isProbe && probesInFlight >= maxConcurrentProbes())) {
--- a/src/main/java/org/springmill/control/workers/DueCommands.java
+++ b/src/main/java/org/springmill/control/workers/DueCommands.java
@@ -3,6 +3,7 @@
 import java.util.ArrayList;
 import java.util.Comparator;
 import java.util.List;
+import java.util.function.BooleanSupplier;
 import org.springmill.control.cluster.Fleet;
 import org.springmill.control.cluster.Machine;
 import org.springmill.control.cluster.TaskAttempt;
@@ -22,13 +23,16 @@
 
     private final Fleet fleet;
     private final double resendIntervalSeconds;
+    private final BooleanSupplier mayStartTasks;
 
     /**
+     * @param mayStartTasks whether the leader may act for the controllers now
      * @param resendIntervalSeconds how long after it was sent an unconfirmed command is due again
      */
-    DueCommands(Fleet fleet, double resendIntervalSeconds) {
+    DueCommands(Fleet fleet, double resendIntervalSeconds, BooleanSupplier mayStartTasks) {
         this.fleet = fleet;
         this.resendIntervalSeconds = resendIntervalSeconds;
+        this.mayStartTasks = mayStartTasks;
     }
 
     /**
@@ -74,10 +78,13 @@
 
     /**
      * Whether the start command may be sent. If it was sent to an earlier epoch it may not: the
-     * task must not start again under the same attempt.
+     * task must not start again under the same attempt. Nor may it if the leader's right to act has
+     * lapsed since the claim was committed.
      */
-    private static boolean isStartDue(Machine machine, TaskAttempt attempt) {
-        return attempt.startEpoch() == 0 || attempt.startEpoch() == machine.epoch();
+    private boolean isStartDue(Machine machine, TaskAttempt attempt) {
+        boolean isForThisEpoch =
+                attempt.startEpoch() == 0 || attempt.startEpoch() == machine.epoch();
+        return isForThisEpoch && mayStartTasks.getAsBoolean();
     }
 
     private void recordStartDue(TaskAttempt attempt, double now) {
--- a/src/test/java/org/springmill/control/simulation/ControllerPauseTest.java
+++ b/src/test/java/org/springmill/control/simulation/ControllerPauseTest.java
@@ -3,6 +3,10 @@
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertNotEquals;
 import static org.junit.jupiter.api.Assertions.assertTrue;
+import static org.springmill.control.simulation.MessageMatchers.fromController;
+import static org.springmill.control.simulation.MessageMatchers.isCommit;
+import static org.springmill.control.simulation.MessageMatchers.isStartCommand;
+import static org.springmill.control.simulation.MessageMatchers.text;
 
 import com.fasterxml.jackson.databind.node.ObjectNode;
 import java.nio.charset.StandardCharsets;
@@ -12,8 +16,10 @@
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.ValueSource;
+import org.springmill.sim.SimNetwork.Delivery;
 import org.springmill.sim.SimulatedCluster;
 import org.springmill.transport.HttpClient.Reply;
+import org.springmill.transport.HttpClient.Request;
 
 /**
  * Controller processes are paused while their clocks continue. The leader's lease is 2.8 s, a
@@ -128,6 +134,39 @@
         assertEquals(TASKS, cluster.running(JOB));
     }
 
+    /** Guards against a start that is sent on a lease which has not been renewed since a pause. */
+    @Test
+    void startClaimedBeforeAPauseIsNotSentBeforeTheLeaderRenewsItsLease() {
+        int leader = cluster.leader();
+        List<String> startsAfterPause = new ArrayList<>();
+        boolean[] paused = new boolean[1];
+        cluster.network()
+                .setDeliveryRule(
+                        (from, request) -> {
+                            boolean ofLeader = fromController(from, leader);
+                            if (!paused[0] && ofLeader && isClaimOf(OTHER, request)) {
+                                paused[0] = true;
+                                cluster.pauseProcess(leader, 2);
+                                cluster.network().partitionFromStore(from);
+                            } else if (paused[0] && ofLeader && isStartCommand(request)) {
+                                startsAfterPause.add(text(request));
+                            }
+                            return Delivery.DELIVER;
+                        });
+        accept(array(OTHER), 3);
+        cluster.run(2.5);
+        assertTrue(paused[0]);
+        assertEquals(List.of(), startsAfterPause);
+        cluster.endFailures();
+        cluster.run(LEASE_SECONDS);
+        assertEquals(TASKS, cluster.running(JOB));
+        assertEquals("done", cluster.phase(leader, OTHER));
+    }
+
+    private static boolean isClaimOf(String job, Request request) {
+        return isCommit(request) && text(request).contains("round/") && text(request).contains(job);
+    }
+
     /** The leader is paused during an outage of the key-value store. */
     @ParameterizedTest
     @ValueSource(doubles = {2, 5, 9})
