Count a worker's lease from the first message of its session too

What callers saw: ran_twice.

Cause: an action on stale knowledge. Claim 7.4 counted a worker's lease from answered heartbeats alone. The protocol's sentence goes on: "for a new worker or session: if it began more than lease_s ago". For a machine that the leader first heard of by its response to a command, more than a lease after the takeover (t0 + ttl + G = 173.3 s, + L = 187.5 s in the records), the lease was over on arrival: the next tick declared it so. The same holds for each later session of a worker whose heartbeats reach nobody. The cloud, which refused deletions from 206 s on, otherwise hid it by deleting the machine before the second start.

Change: WorkerEpoch keeps when a message first showed the present epoch, and WorkerLeases counts from it as well.

A worker that answers commands while its heartbeats reach nobody would now stay in use, losing its work with each session. It is marked once no controller can have renewed its lease for a whole lease, by the times that declared it lost before: it gets no new work, and MachineHealth has it deleted ("heartbeats reach no controller"), which proves the end of what still runs. Machines that answer nothing are declared lost as early as before.

WorkerLeaseTest, ControllerPauseTest, KeyValueStoreOutageTest and NetworkPartitionTest pass.

--- a/src/main/java/org/springmill/control/autoscaling/DeletionReason.java
+++ b/src/main/java/org/springmill/control/autoscaling/DeletionReason.java
@@ -18,6 +18,8 @@
     NO_LONGER_LISTED("no longer listed"),
     /** Its worker's lease has expired, and it has no task attempts left. */
     LEASE_EXPIRED("worker lease expired"),
+    /** Responds to commands, but its heartbeats have reached no controller for a whole lease. */
+    HEARTBEATS_LOST("heartbeats reach no controller"),
     /** Sends heartbeats but does not receive the responses. */
     MISSES_LEADER_RESPONSES("misses the responses of this leader"),
     /** Tasks of several jobs failed on it, and it has no task attempts left. */
--- a/src/main/java/org/springmill/control/autoscaling/MachineHealth.java
+++ b/src/main/java/org/springmill/control/autoscaling/MachineHealth.java
@@ -120,6 +120,9 @@
         if (isUnresponsive(machine, fewOverdue, now)) {
             return Optional.of(DeletionReason.UNRESPONSIVE);
         }
+        if (machine.isRenewalOverdue()) {
+            return Optional.of(DeletionReason.HEARTBEATS_LOST);
+        }
         if (missesLeaderResponses(machine, now)) {
             return Optional.of(DeletionReason.MISSES_LEADER_RESPONSES);
         }
--- a/src/main/java/org/springmill/control/cluster/Machine.java
+++ b/src/main/java/org/springmill/control/cluster/Machine.java
@@ -255,6 +255,19 @@
         return !hasSeenCurrentTerm() && liveness.isAnsweredForLongerThan(forSeconds, now);
     }
 
+    /**
+     * Records that its worker's lease is overdue for renewal: its heartbeats have reached no
+     * controller for a whole lease, although it may respond to commands.
+     */
+    public void markRenewalOverdue() {
+        liveness.markRenewalOverdue();
+    }
+
+    /** Whether its worker's lease is overdue for renewal; ends when a heartbeat is answered. */
+    public boolean isRenewalOverdue() {
+        return liveness.isRenewalOverdue();
+    }
+
     /** When a heartbeat was last answered; negative infinity for never. */
     public double lastHeartbeatAnsweredAt() {
         return liveness.lastAnsweredAt();
@@ -421,6 +434,7 @@
                 && !hasPreemptionNotice()
                 && !isQuarantined()
                 && !isDraining
+                && !isRenewalOverdue()
                 && !areCommandsFailing()
                 && now - lastHeartbeatAt() < suspectAfterSeconds
                 && !faults.isCordoned(now)
--- a/src/main/java/org/springmill/control/cluster/WorkerEpoch.java
+++ b/src/main/java/org/springmill/control/cluster/WorkerEpoch.java
@@ -15,6 +15,7 @@
     private long epoch;
     private long lastAcceptedSequence;
     private long lastHeartbeatSequence;
+    private double epochSeenAt = Double.NEGATIVE_INFINITY;
     private double currentTermSeenAt = Double.POSITIVE_INFINITY;
 
     WorkerEpoch(long term) {
@@ -74,6 +75,7 @@
     void accept(Heartbeat heartbeat, double now) {
         if (heartbeat.epoch() > epoch) {
             lastHeartbeatSequence = 0;
+            epochSeenAt = now;
         }
         epoch = heartbeat.epoch();
         lastAcceptedSequence = heartbeat.sequence();
@@ -83,6 +85,14 @@
         }
     }
 
+    /**
+     * When a heartbeat first showed the present epoch; negative infinity if none has arrived. The
+     * worker began the epoch, and with it a lease, at this time at the latest.
+     */
+    public double epochSeenAt() {
+        return epochSeenAt;
+    }
+
     /**
      * When a heartbeat first showed a token of this term; infinite if none has. Until then an
      * earlier leader may have renewed the worker's lease.
--- a/src/main/java/org/springmill/control/cluster/WorkerLiveness.java
+++ b/src/main/java/org/springmill/control/cluster/WorkerLiveness.java
@@ -11,6 +11,7 @@
     private double lastHeartbeatAt = Double.NEGATIVE_INFINITY;
     private double lastAnsweredAt = Double.NEGATIVE_INFINITY;
     private double answeredSince;
+    private boolean isRenewalOverdue;
 
     void heartbeatReceived(double now) {
         lastHeartbeatAt = now;
@@ -21,6 +22,16 @@
             answeredSince = now;
         }
         lastAnsweredAt = now;
+        isRenewalOverdue = false;
+    }
+
+    /** Records that no controller can have renewed the lease for its whole duration. */
+    void markRenewalOverdue() {
+        isRenewalOverdue = true;
+    }
+
+    boolean isRenewalOverdue() {
+        return isRenewalOverdue;
     }
 
     double lastHeartbeatAt() {
--- a/src/main/java/org/springmill/control/workers/Reconciliation.java
+++ b/src/main/java/org/springmill/control/workers/Reconciliation.java
@@ -172,6 +172,7 @@
             if (now > leases.expiresAt(machine, peersMayRenewUntil)) {
                 leaseExpired(machine);
             } else {
+                checkRenewal(machine, peersMayRenewUntil, now);
                 checkClaimConfirmations(machine, now);
             }
         }
@@ -193,6 +194,18 @@
         }
     }
 
+    /**
+     * Marks a machine whose heartbeats have reached no controller for a whole lease: it gets no new
+     * work, since what runs there ends with its epoch, and is replaced.
+     */
+    private void checkRenewal(Machine machine, double peersMayRenewUntil, double now) {
+        boolean isOverdue = leases.isRenewalOverdue(machine, peersMayRenewUntil, now);
+        if (isOverdue && !machine.isRenewalOverdue()) {
+            LOG.info("heartbeats of worker {} reach no controller", machine.name());
+            machine.markRenewalOverdue();
+        }
+    }
+
     /** Marks attempts as unknown whose start no heartbeat has confirmed within the timeout. */
     private void checkClaimConfirmations(Machine machine, double now) {
         for (TaskAttempt attempt : machine.attemptsSnapshot()) {
--- a/src/main/java/org/springmill/control/workers/WorkerLeases.java
+++ b/src/main/java/org/springmill/control/workers/WorkerLeases.java
@@ -33,20 +33,42 @@
     }
 
     /**
-     * The latest time at which a lease that any controller may have granted to a machine's worker
-     * expires.
+     * The latest time at which the lease of a machine's worker expires, whichever controller
+     * renewed it last. Each epoch also begins with a lease that no controller grants.
      *
      * @param peersMayRenewUntil time until which other controllers may renew leases
      */
     double expiresAt(Machine machine, double peersMayRenewUntil) {
-        double lastRenewalInTerm = Math.max(machine.lastHeartbeatAnsweredAt(), peersMayRenewUntil);
+        double lastRenewal =
+                Math.max(
+                        lastRenewalInTerm(machine, peersMayRenewUntil),
+                        lastRenewalByEarlierLeader(machine));
+        return Math.max(lastRenewal, machine.workerEpoch().epochSeenAt())
+                + timeouts.workerLeaseSeconds();
+    }
+
+    /**
+     * Whether no controller can have renewed the lease of a machine's worker for its whole
+     * duration, counted from the worker's first obedience to this leader. Its present epoch may
+     * still hold the lease that it began with.
+     */
+    boolean isRenewalOverdue(Machine machine, double peersMayRenewUntil, double now) {
+        double countedFrom =
+                Math.max(
+                        lastRenewalInTerm(machine, peersMayRenewUntil),
+                        machine.workerEpoch().currentTermSeenAt());
+        return now > countedFrom + timeouts.workerLeaseSeconds();
+    }
+
+    private static double lastRenewalInTerm(Machine machine, double peersMayRenewUntil) {
+        return Math.max(machine.lastHeartbeatAnsweredAt(), peersMayRenewUntil);
+    }
+
+    private double lastRenewalByEarlierLeader(Machine machine) {
         // A worker accepts responses of an earlier leader until it has seen this term's fencing
         // token. When it got the last of them is not known here, so the lease is taken to have been
         // renewed as late as the heartbeat that first showed the token.
-        double lastRenewalByEarlierLeader =
-                Math.min(machine.workerEpoch().currentTermSeenAt(), earlierLeaderMayRenewUntil());
-        return Math.max(lastRenewalInTerm, lastRenewalByEarlierLeader)
-                + timeouts.workerLeaseSeconds();
+        return Math.min(machine.workerEpoch().currentTermSeenAt(), earlierLeaderMayRenewUntil());
     }
 
     /**
