--- a/src/test/java/org/springmill/sim/SimNetwork.java
+++ b/src/test/java/org/springmill/sim/SimNetwork.java
@@ -85,6 +85,11 @@
         heartbeatsBlocked.add(machine.name());
     }
 
+    /** Delivers the heartbeats of all machines again. */
+    public void deliverHeartbeats() {
+        heartbeatsBlocked.clear();
+    }
+
     /** Drops all requests from a controller to the key-value store. */
     public void partitionFromStore(String controller) {
         partitionFromStore.add(controller);
