Log and count why a worker's lease is over, a heartbeat answered, an attempt ended

Now, rare lines at INFO or WARN and frequent ones at DEBUG:

- "lease of worker X expired: GRANT n s ago, last heard n s ago by SOURCE; term, epoch, token, state" (LeaseGrant, HeartbeatSource), also for machines that were not up, and "heartbeats of worker X reach no controller: ..." in the same form;
- "worker X heard by SOURCE: epoch, sequence, token" for each machine that comes up;
- "term N begins: fencing tokens from T"; the line of a recovered state says when job records and rounds had been read;
- "heartbeat E.S of worker X handled as leader of term N: GROUND", "lease of worker X renewed without leading: GROUND" (RenewalGround: the grounds of design.md, section 7), "attempt N is gone: ..." with what proved it, the epoch in the line of commands.

WorkerLeases gives the latest grant in place of a time, LeaseExpiry takes what Reconciliation did with it. Behaviour is otherwise unchanged: the order in which LeaseKeepalive asks for its grounds is the same.

--- a/src/main/java/org/springmill/control/cluster/Machine.java
+++ b/src/main/java/org/springmill/control/cluster/Machine.java
@@ -5,6 +5,7 @@
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Optional;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
 import org.slf4j.event.Level;
@@ -203,14 +204,14 @@
     }
 
     /** Accepts a heartbeat that is newer than all before. */
-    public void acceptHeartbeat(Heartbeat heartbeat, double now) {
+    public void acceptHeartbeat(Heartbeat heartbeat, HeartbeatSource source, double now) {
         workerEpoch.accept(heartbeat, now);
         if (state == State.PROVISIONING) {
             // Commands fail while a machine boots. If these failures still counted, the machine
             // would not be schedulable and the leader would rent another one.
             faults.commandsSucceeded();
         }
-        liveness.heartbeatReceived(now);
+        liveness.heartbeatReceived(source, now);
         reportedTasks = heartbeat.tasks();
         areReportedTasksKnown = false;
         preemptionAt =
@@ -278,6 +279,11 @@
         return liveness.lastHeartbeatAt();
     }
 
+    /** How its latest heartbeat arrived; empty if none has. */
+    public Optional<HeartbeatSource> lastHeartbeatSource() {
+        return liveness.lastSource();
+    }
+
     /** Whether its latest heartbeat carries a spot preemption notice. */
     public boolean hasPreemptionNotice() {
         return preemptionAt < Double.POSITIVE_INFINITY;
--- a/src/main/java/org/springmill/control/cluster/WorkerEpoch.java
+++ b/src/main/java/org/springmill/control/cluster/WorkerEpoch.java
@@ -19,7 +19,12 @@
     private double currentTermSeenAt = Double.POSITIVE_INFINITY;
 
     WorkerEpoch(long term) {
-        fencingToken = (term << COUNTER_BITS) + 1;
+        fencingToken = firstToken(term);
+    }
+
+    /** The first token that a leader of a term uses for each worker. */
+    public static long firstToken(long term) {
+        return (term << COUNTER_BITS) + 1;
     }
 
     /** The term that a token belongs to. */
--- a/src/main/java/org/springmill/control/cluster/WorkerLiveness.java
+++ b/src/main/java/org/springmill/control/cluster/WorkerLiveness.java
@@ -1,5 +1,7 @@
 package org.springmill.control.cluster;
 
+import java.util.Optional;
+
 /**
  * When heartbeats of one worker arrived and were answered. Times are seconds on the steady clock of
  * the leader; negative infinity stands for never.
@@ -9,12 +11,19 @@
     private static final double MAX_ANSWER_GAP_LEASES = 2;
 
     private double lastHeartbeatAt = Double.NEGATIVE_INFINITY;
+    private Optional<HeartbeatSource> lastSource = Optional.empty();
     private double lastAnsweredAt = Double.NEGATIVE_INFINITY;
     private double answeredSince;
     private boolean isRenewalOverdue;
 
-    void heartbeatReceived(double now) {
+    void heartbeatReceived(HeartbeatSource source, double now) {
         lastHeartbeatAt = now;
+        lastSource = Optional.of(source);
+    }
+
+    /** How the latest heartbeat arrived; empty if none has. */
+    Optional<HeartbeatSource> lastSource() {
+        return lastSource;
     }
 
     void heartbeatAnswered(double now, double leaseSeconds) {
--- a/src/main/java/org/springmill/control/controller/ControllerGauges.java
+++ b/src/main/java/org/springmill/control/controller/ControllerGauges.java
@@ -28,6 +28,7 @@
     /** Adds the gauges of leadership, key-value store and cancellations. */
     void addStoreGauges(CancellationFreshness cancellationFreshness) {
         metrics.gauge("leading", services.leadership(), l -> l.mayPlace() ? 1 : 0);
+        metrics.gauge("leading_term", services.leadership(), l -> l.mayPlace() ? l.term() : 0);
         metrics.gauge("state_service_up", services.store(), s -> s.isReachable() ? 1 : 0);
         metrics.gauge(
                 "state_service_queued_requests", services.store(), KeyValueStoreClient::backlog);
--- a/src/main/java/org/springmill/control/controller/HeartbeatEndpoint.java
+++ b/src/main/java/org/springmill/control/controller/HeartbeatEndpoint.java
@@ -2,9 +2,12 @@
 
 import java.util.Optional;
 import java.util.function.Supplier;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
 import org.springmill.control.jobs.JobDirectory;
 import org.springmill.control.leadership.Leadership;
 import org.springmill.control.leadership.LeaseKeepalive;
+import org.springmill.control.leadership.RenewalGround;
 import org.springmill.control.membership.CancellationFreshness;
 import org.springmill.control.membership.RedirectedWorkers;
 import org.springmill.protocol.MalformedMessageException;
@@ -19,6 +22,7 @@
  * leader.
  */
 final class HeartbeatEndpoint {
+    private static final Logger LOG = LoggerFactory.getLogger(HeartbeatEndpoint.class);
     private static final byte[] EMPTY = new byte[0];
 
     private final String node;
@@ -67,7 +71,15 @@
     }
 
     private void respond(Call call, Heartbeat heartbeat) {
-        if (mayRespondAsLeader()) {
+        Optional<RenewalGround> ground = groundToRespondAsLeader();
+        if (ground.isPresent()) {
+            LOG.debug(
+                    "heartbeat {}.{} of worker {} handled as leader of term {}: {}",
+                    heartbeat.epoch(),
+                    heartbeat.sequence(),
+                    heartbeat.machine(),
+                    leadership.term(),
+                    ground.get());
             leader.get().orElseThrow().respondToHeartbeat(call, heartbeat);
         } else if (leaseKeepalive.mayRenewLease(heartbeat, leader.get().isPresent())) {
             renewLease(call, heartbeat);
@@ -79,10 +91,10 @@
     /**
      * Checking the leadership may end the term, so callers must get the leader again afterwards.
      */
-    private boolean mayRespondAsLeader() {
+    private Optional<RenewalGround> groundToRespondAsLeader() {
         return leader.get().isPresent()
-                && leadership.mayRespondToWorkers()
-                && cancellationFreshness.isFresh();
+                ? leadership.groundToRespond().filter(ground -> cancellationFreshness.isFresh())
+                : Optional.empty();
     }
 
     /**
--- a/src/main/java/org/springmill/control/controller/Leader.java
+++ b/src/main/java/org/springmill/control/controller/Leader.java
@@ -2,11 +2,13 @@
 
 import java.util.ArrayList;
 import java.util.List;
+import java.util.Locale;
 import java.util.Optional;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
 import org.springmill.control.cluster.Job;
 import org.springmill.control.cluster.Machine;
+import org.springmill.control.cluster.WorkerEpoch;
 import org.springmill.control.history.HistoryArchiver;
 import org.springmill.control.storage.JobRecord;
 import org.springmill.control.storage.RoundLog;
@@ -25,12 +27,15 @@
     private final LeaderComponents components;
     private final TermLifecycle lifecycle;
     private final Optional<HistoryArchiver> historyArchiver;
+    private final double startedAt;
+    private double jobRecordsReadAt;
 
     Leader(ControllerServices services, LeaderComponents components) {
         this.services = services;
         this.components = components;
         lifecycle = components.lifecycle();
         historyArchiver = components.historyArchiver();
+        startedAt = services.loop().now();
     }
 
     /** Ends the term: nothing more is sent or written for it. */
@@ -52,6 +57,14 @@
      * answered during recovery, so that leases do not expire.
      */
     void start() {
+        LOG.info(
+                "term {} begins: fencing tokens from {}",
+                components.fleet().term(),
+                WorkerEpoch.firstToken(components.fleet().term()));
+        readState();
+    }
+
+    private void readState() {
         services.directory()
                 .readBarrier(
                         current -> {
@@ -59,6 +72,7 @@
                                 return;
                             }
                             if (current && services.catalog().isKnown()) {
+                                jobRecordsReadAt = services.loop().now();
                                 loadRounds();
                             } else {
                                 retryStartLater();
@@ -100,7 +114,7 @@
     }
 
     private void retryStartLater() {
-        services.loop().after(services.timeouts().peerPollIntervalSeconds(), this::start);
+        services.loop().after(services.timeouts().peerPollIntervalSeconds(), this::readState);
     }
 
     private void recover(RoundLog.RecoveredRounds rounds) {
@@ -124,11 +138,17 @@
         components.preemption().stateRecovered();
         lifecycle.activate();
         LOG.info(
-                "cluster state of term {} recovered: {} active jobs, {} claims in {} rounds",
+                "cluster state of term {} recovered: {} active jobs, {} claims in {} rounds; job records read {} s, rounds {} s after its beginning",
                 components.fleet().term(),
                 activeRecords.size(),
                 rounds.live().size(),
-                components.roundLog().storedValueCount());
+                components.roundLog().storedValueCount(),
+                secondsSinceStart(jobRecordsReadAt),
+                secondsSinceStart(services.loop().now()));
+    }
+
+    private String secondsSinceStart(double time) {
+        return String.format(Locale.ROOT, "%.3f", time - startedAt);
     }
 
     private void startComponents() {
--- a/src/main/java/org/springmill/control/leadership/Leadership.java
+++ b/src/main/java/org/springmill/control/leadership/Leadership.java
@@ -157,12 +157,21 @@
      * pause; otherwise only while an outage of the key-value store is confirmed.
      */
     public boolean mayRespondToWorkers() {
+        return groundToRespond().isPresent();
+    }
+
+    /** The ground of {@link #mayRespondToWorkers}; empty if there is none. */
+    public Optional<RenewalGround> groundToRespond() {
         refreshState();
         if (!holdsTerm()) {
-            return false;
+            return Optional.empty();
+        }
+        if (lease.isWithinGrace() && lease.isConfirmedSincePause()) {
+            return Optional.of(RenewalGround.LEADER_LEASE);
         }
-        boolean leaseSuffices = lease.isWithinGrace() && lease.isConfirmedSincePause();
-        return leaseSuffices || isOutageConfirmed();
+        return isOutageConfirmed()
+                ? Optional.of(RenewalGround.LEADER_IN_CONFIRMED_OUTAGE)
+                : Optional.empty();
     }
 
     /**
--- a/src/main/java/org/springmill/control/leadership/LeaseKeepalive.java
+++ b/src/main/java/org/springmill/control/leadership/LeaseKeepalive.java
@@ -3,7 +3,10 @@
 import java.util.HashMap;
 import java.util.HashSet;
 import java.util.Map;
+import java.util.Optional;
 import java.util.Set;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
 import org.springmill.control.cluster.WorkerEpoch;
 import org.springmill.control.membership.CancellationFreshness;
 import org.springmill.control.membership.Peers;
@@ -19,6 +22,8 @@
  * into account; docs/design.md has the argument.
  */
 public final class LeaseKeepalive {
+    private static final Logger LOG = LoggerFactory.getLogger(LeaseKeepalive.class);
+
     private final KeyValueStoreClient store;
     private final Peers peers;
     private final Leadership leadership;
@@ -68,18 +73,35 @@
         if (isolated) {
             workerZones.add(heartbeat.zone());
         }
-        boolean noLeaderExpiresLease =
-                leadership.isVacant()
-                        || renewsForNewLeader(holdsTerm)
-                        || renewsInConfirmedOutage(holdsTerm)
-                        || (isolated && isUnreachableForLeaders(heartbeat));
-        boolean mayRenew = noLeaderExpiresLease && cancelledTasksWillEnd(isolated);
+        Optional<RenewalGround> ground = ground(heartbeat, holdsTerm, isolated);
+        boolean mayRenew = ground.isPresent() && cancelledTasksWillEnd(isolated);
         if (mayRenew) {
+            LOG.debug(
+                    "lease of worker {} renewed without leading: {}",
+                    heartbeat.machine(),
+                    ground.get());
             peers.recordLeaseRenewal();
         }
         return mayRenew;
     }
 
+    /** Why no leader can treat the worker's lease as expired; empty if one may. */
+    private Optional<RenewalGround> ground(
+            Heartbeat heartbeat, boolean holdsTerm, boolean isolated) {
+        if (leadership.isVacant()) {
+            return Optional.of(RenewalGround.VACANT_LEADERSHIP);
+        }
+        if (renewsForNewLeader(holdsTerm)) {
+            return Optional.of(RenewalGround.FAILOVER_SUPPORT);
+        }
+        if (renewsInConfirmedOutage(holdsTerm)) {
+            return Optional.of(RenewalGround.CONFIRMED_OUTAGE);
+        }
+        return isolated && isUnreachableForLeaders(heartbeat)
+                ? Optional.of(RenewalGround.ISOLATED)
+                : Optional.empty();
+    }
+
     private boolean renewsForNewLeader(boolean holdsTerm) {
         return !holdsTerm && peers.renewsForNewLeader();
     }
--- a/src/main/java/org/springmill/control/metrics/Metrics.java
+++ b/src/main/java/org/springmill/control/metrics/Metrics.java
@@ -55,6 +55,8 @@
     private final Counter claimsCommitted;
     private final Counter attemptsEnded;
     private final Counter attemptsLost;
+    private final Counter leasesExpired;
+    private final Counter renewalsOverdue;
     private final Counter recordsMoved;
     private final Counter jobsSuspected;
     private final Counter recallsCommitted;
@@ -74,6 +76,8 @@
         claimsCommitted = counter("claims_committed");
         attemptsEnded = counter("attempts_ended");
         attemptsLost = counter("attempts_lost");
+        leasesExpired = counter("worker_leases_expired");
+        renewalsOverdue = counter("worker_renewals_overdue");
         recordsMoved = counter("job_records_moved");
         jobsSuspected = counter("jobs_suspected");
         recallsCommitted = counter("recalls_committed");
@@ -122,6 +126,16 @@
         attemptsLost.increment();
     }
 
+    /** Records that the lease of a machine's worker was declared over. */
+    public void recordLeaseExpired() {
+        leasesExpired.increment();
+    }
+
+    /** Records that the heartbeats of a machine have reached no controller for a whole lease. */
+    public void recordRenewalOverdue() {
+        renewalsOverdue.increment();
+    }
+
     /** Records that a job became suspect, since its tasks fail on several machines. */
     public void recordSuspectJob() {
         jobsSuspected.increment();
--- a/src/main/java/org/springmill/control/workers/CommandDispatcher.java
+++ b/src/main/java/org/springmill/control/workers/CommandDispatcher.java
@@ -120,10 +120,11 @@
         long epoch = Math.max(FIRST_EPOCH, machine.epoch());
         byte[] body = WorkerMessages.encodeCommands(machine.fencingToken(), epoch, commands);
         LOG.debug(
-                "sending worker {} the commands {} with fencing token {}",
+                "sending worker {} the commands {} with fencing token {} to epoch {}",
                 machine.name(),
                 commands,
-                machine.fencingToken());
+                machine.fencingToken(),
+                epoch);
         http.send(
                 new HttpClient.Request(
                         machine.address(),
--- a/src/main/java/org/springmill/control/workers/HeartbeatHandler.java
+++ b/src/main/java/org/springmill/control/workers/HeartbeatHandler.java
@@ -2,6 +2,7 @@
 
 import java.util.List;
 import org.springmill.control.cluster.Fleet;
+import org.springmill.control.cluster.HeartbeatSource;
 import org.springmill.control.cluster.Machine;
 import org.springmill.control.jobs.JobDirectory;
 import org.springmill.control.timing.Timeouts;
@@ -78,7 +79,7 @@
             return;
         }
         if (term.isActive()) {
-            reconciliation.accept(machine, heartbeat);
+            reconciliation.accept(machine, heartbeat, HeartbeatSource.HEARTBEAT);
         }
         // A heartbeat that shows a later term ends this one.
         if (term.isClosed()) {
--- a/src/main/java/org/springmill/control/workers/Reconciliation.java
+++ b/src/main/java/org/springmill/control/workers/Reconciliation.java
@@ -5,6 +5,7 @@
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
 import org.springmill.control.cluster.Fleet;
+import org.springmill.control.cluster.HeartbeatSource;
 import org.springmill.control.cluster.Machine;
 import org.springmill.control.cluster.TaskAttempt;
 import org.springmill.control.cluster.WorkerEpoch;
@@ -25,7 +26,7 @@
  *   <li>claim 6.1, a newer heartbeat without the attempt under a higher fencing token: {@link
  *       #isFencedOff};
  *   <li>claim 6.2, a heartbeat of a later epoch: {@link #isOfEarlierEpoch};
- *   <li>claim 6.3, an expired lease: {@link WorkerLeases} and {@link #leaseExpired};
+ *   <li>claim 6.3, an expired lease: {@link WorkerLeases} and {@link LeaseExpiry};
  *   <li>claim 6.4, a deleted machine: decided by the autoscaling package.
  * </ul>
  */
@@ -43,8 +44,7 @@
     private final Fleet fleet;
     private final Timeouts timeouts;
     private final Peers peers;
-    private final Metrics metrics;
-    private final WorkerLeases leases;
+    private final LeaseExpiry leaseExpiry;
     private final TaskStatusHandler taskStatusHandler;
     private final Runnable onChange;
     private final Consumer<String> onLaterTerm;
@@ -70,15 +70,15 @@
         this.fleet = fleet;
         this.timeouts = timeouts;
         this.peers = peers;
-        this.metrics = metrics;
-        this.leases = new WorkerLeases(fleet, timeouts, peers);
+        WorkerLeases leases = new WorkerLeases(fleet, timeouts, peers);
+        leaseExpiry = new LeaseExpiry(fleet, leases, metrics, onChange);
         this.taskStatusHandler = new TaskStatusHandler(fleet, timeouts, metrics);
         this.onChange = onChange;
         this.onLaterTerm = onLaterTerm;
     }
 
-    /** Reconciles one heartbeat. Ignores it if it is not newer than all before. */
-    public void accept(Machine machine, Heartbeat heartbeat) {
+    /** Reconciles a worker's status. Ignores it if it is not newer than all before. */
+    public void accept(Machine machine, Heartbeat heartbeat, HeartbeatSource source) {
         if (WorkerEpoch.termOf(heartbeat.fencingToken()) > fleet.term()) {
             onLaterTerm.accept(machine.name() + " has seen a later term");
             return;
@@ -89,8 +89,8 @@
         double now = fleet.now();
         boolean wasSchedulable = isSchedulable(machine, now);
         machine.workerEpoch().adoptFencingToken(heartbeat.fencingToken());
-        machine.acceptHeartbeat(heartbeat, now);
-        markUp(machine, heartbeat, now);
+        machine.acceptHeartbeat(heartbeat, source, now);
+        markUp(machine, heartbeat, source, now);
         Set<TaskAttempt> reported = taskStatusHandler.apply(machine, heartbeat, now);
         endAttemptsProvenGone(machine, heartbeat, reported);
         if (machine.hasPreemptionNotice()) {
@@ -108,12 +108,19 @@
         return machine.isSchedulable(now, timeouts.suspectAfterSeconds());
     }
 
-    private void markUp(Machine machine, Heartbeat heartbeat, double now) {
+    private void markUp(Machine machine, Heartbeat heartbeat, HeartbeatSource source, double now) {
         boolean wasProvisioning = machine.state() == Machine.State.PROVISIONING;
         if (wasProvisioning && machine.type() != null && isSentAtStartup(heartbeat)) {
             fleet.bootTimes().recordBoot(machine, now);
         }
         if (wasProvisioning || machine.state() == Machine.State.LEASE_EXPIRED) {
+            LOG.debug(
+                    "worker {} heard by {}: epoch {}, sequence {}, token {}",
+                    machine.name(),
+                    source,
+                    heartbeat.epoch(),
+                    heartbeat.sequence(),
+                    heartbeat.fencingToken());
             machine.transition(Machine.State.UP);
         }
     }
@@ -127,6 +134,15 @@
             Machine machine, Heartbeat heartbeat, Set<TaskAttempt> reported) {
         for (TaskAttempt attempt : machine.attemptsSnapshot()) {
             if (!reported.contains(attempt) && isProvenGone(attempt, heartbeat)) {
+                LOG.debug(
+                        "{} attempt {} is gone: {} shows epoch {}, token {}; sent to epoch {}, token {}",
+                        attempt.claim().task(),
+                        attempt.claim().round(),
+                        machine.name(),
+                        heartbeat.epoch(),
+                        heartbeat.fencingToken(),
+                        attempt.startEpoch(),
+                        attempt.highestStartToken());
                 fleet.end(attempt, ExitCause.NONE);
             }
         }
@@ -163,49 +179,18 @@
     /** Handles expired leases, and start commands that were not confirmed in time. */
     public void tick() {
         double now = fleet.now();
-        leases.observeQuorum(now);
+        leaseExpiry.observeQuorum(now);
         double peersMayRenewUntil = peers.othersMayRenewUntil();
         for (Machine machine : fleet.machinesSnapshot()) {
             if (machine.state() == Machine.State.TERMINATED) {
                 continue;
             }
-            if (now > leases.expiresAt(machine, peersMayRenewUntil)) {
-                leaseExpired(machine);
-            } else {
-                checkRenewal(machine, peersMayRenewUntil, now);
+            if (!leaseExpiry.check(machine, peersMayRenewUntil, now)) {
                 checkClaimConfirmations(machine, now);
             }
         }
     }
 
-    /** Claim 6.3: all attempts on a machine ended when its worker's lease expired. */
-    private void leaseExpired(Machine machine) {
-        for (TaskAttempt attempt : machine.attemptsSnapshot()) {
-            if (attempt.state() != TaskAttempt.State.CLAIMING) {
-                metrics.recordLostAttempt();
-                fleet.end(attempt, ExitCause.NONE);
-            }
-        }
-        if (machine.state() == Machine.State.UP) {
-            LOG.warn("lease of worker {} expired", machine.name());
-            machine.transition(Machine.State.LEASE_EXPIRED);
-            machine.images().clear();
-            onChange.run();
-        }
-    }
-
-    /**
-     * Marks a machine whose heartbeats have reached no controller for a whole lease: it gets no new
-     * work, since what runs there ends with its epoch, and is replaced.
-     */
-    private void checkRenewal(Machine machine, double peersMayRenewUntil, double now) {
-        boolean isOverdue = leases.isRenewalOverdue(machine, peersMayRenewUntil, now);
-        if (isOverdue && !machine.isRenewalOverdue()) {
-            LOG.info("heartbeats of worker {} reach no controller", machine.name());
-            machine.markRenewalOverdue();
-        }
-    }
-
     /** Marks attempts as unknown whose start no heartbeat has confirmed within the timeout. */
     private void checkClaimConfirmations(Machine machine, double now) {
         for (TaskAttempt attempt : machine.attemptsSnapshot()) {
--- a/src/main/java/org/springmill/control/workers/WorkerLeases.java
+++ b/src/main/java/org/springmill/control/workers/WorkerLeases.java
@@ -4,6 +4,7 @@
 import org.springmill.control.cluster.Machine;
 import org.springmill.control.membership.Peers;
 import org.springmill.control.timing.Timeouts;
+import org.springmill.control.workers.LeaseGrant.Kind;
 
 /**
  * Decides when the lease of a worker has expired, whichever controller renewed it last (claim 6.3
@@ -32,19 +33,25 @@
         }
     }
 
+    /** When the lease of a worker that began with a grant expires at the latest. */
+    double expiresAt(LeaseGrant grant) {
+        return grant.at() + timeouts.workerLeaseSeconds();
+    }
+
     /**
-     * The latest time at which the lease of a machine's worker expires, whichever controller
+     * The latest event from which the lease of a machine's worker may run, whichever controller
      * renewed it last. Each epoch also begins with a lease that no controller grants.
      *
      * @param peersMayRenewUntil time until which other controllers may renew leases
      */
-    double expiresAt(Machine machine, double peersMayRenewUntil) {
-        double lastRenewal =
-                Math.max(
-                        lastRenewalInTerm(machine, peersMayRenewUntil),
-                        lastRenewalByEarlierLeader(machine));
-        return Math.max(lastRenewal, machine.workerEpoch().epochSeenAt())
-                + timeouts.workerLeaseSeconds();
+    LeaseGrant latestGrant(Machine machine, double peersMayRenewUntil) {
+        return new LeaseGrant(Kind.HEARTBEAT_ANSWERED, machine.lastHeartbeatAnsweredAt())
+                .latest(new LeaseGrant(Kind.RENEWED_BY_PEER, peersMayRenewUntil))
+                .latest(
+                        new LeaseGrant(
+                                Kind.RENEWED_BY_EARLIER_LEADER,
+                                lastRenewalByEarlierLeader(machine)))
+                .latest(new LeaseGrant(Kind.EPOCH_FIRST_SEEN, machine.workerEpoch().epochSeenAt()));
     }
 
     /**
@@ -53,17 +60,11 @@
      * still hold the lease that it began with.
      */
     boolean isRenewalOverdue(Machine machine, double peersMayRenewUntil, double now) {
-        double countedFrom =
-                Math.max(
-                        lastRenewalInTerm(machine, peersMayRenewUntil),
-                        machine.workerEpoch().currentTermSeenAt());
+        double lastRenewal = Math.max(machine.lastHeartbeatAnsweredAt(), peersMayRenewUntil);
+        double countedFrom = Math.max(lastRenewal, machine.workerEpoch().currentTermSeenAt());
         return now > countedFrom + timeouts.workerLeaseSeconds();
     }
 
-    private static double lastRenewalInTerm(Machine machine, double peersMayRenewUntil) {
-        return Math.max(machine.lastHeartbeatAnsweredAt(), peersMayRenewUntil);
-    }
-
     private double lastRenewalByEarlierLeader(Machine machine) {
         // A worker accepts responses of an earlier leader until it has seen this term's fencing
         // token. When it got the last of them is not known here, so the lease is taken to have been
--- a/src/test/java/org/springmill/control/autoscaling/MachineDrainingTest.java
+++ b/src/test/java/org/springmill/control/autoscaling/MachineDrainingTest.java
@@ -5,6 +5,7 @@
 import java.util.List;
 import java.util.Optional;
 import org.junit.jupiter.api.Test;
+import org.springmill.control.cluster.HeartbeatSource;
 import org.springmill.control.cluster.Job;
 import org.springmill.control.cluster.Machine;
 import org.springmill.control.cluster.TaskAttempt;
@@ -25,7 +26,9 @@
         Machine machine = new Machine(name, 1, NOW);
         machine.describe("10.1.0.1:9000", TYPE, ZONE, false);
         machine.acceptHeartbeat(
-                new Heartbeat(name, "", "large", ZONE, false, 1, 1, 0, null, List.of()), NOW);
+                new Heartbeat(name, "", "large", ZONE, false, 1, 1, 0, null, List.of()),
+                HeartbeatSource.HEARTBEAT,
+                NOW);
         machine.transition(Machine.State.UP);
         Submission spec = PackingFixtures.job(1).size(cpus, 0, 1).build();
         machine.recordImageUsed(spec, NOW);
--- a/src/test/java/org/springmill/control/recall/RecallCostMeasurement.java
+++ b/src/test/java/org/springmill/control/recall/RecallCostMeasurement.java
@@ -7,6 +7,7 @@
 import org.springmill.control.autoscaling.PackingFixtures;
 import org.springmill.control.cluster.ClusterState;
 import org.springmill.control.cluster.Fleet;
+import org.springmill.control.cluster.HeartbeatSource;
 import org.springmill.control.cluster.Job;
 import org.springmill.control.cluster.Machine;
 import org.springmill.control.cluster.TaskAttempt;
@@ -140,7 +141,8 @@
             for (int task = 0; task < tasks; task++) {
                 reported.add(start(batch.get((i * tasks + task) % batch.size()), machine));
             }
-            machine.acceptHeartbeat(heartbeat(machine, reported), clock.now());
+            machine.acceptHeartbeat(
+                    heartbeat(machine, reported), HeartbeatSource.HEARTBEAT, clock.now());
         }
     }
 
--- a/src/test/java/org/springmill/control/scheduling/FullRoundTest.java
+++ b/src/test/java/org/springmill/control/scheduling/FullRoundTest.java
@@ -10,6 +10,7 @@
 import org.springmill.control.autoscaling.PackingFixtures;
 import org.springmill.control.cluster.ClusterState;
 import org.springmill.control.cluster.Fleet;
+import org.springmill.control.cluster.HeartbeatSource;
 import org.springmill.control.cluster.Job;
 import org.springmill.control.cluster.Machine;
 import org.springmill.control.timing.Timeouts;
@@ -55,7 +56,7 @@
                         FENCING_TOKEN,
                         null,
                         List.of());
-        machine.acceptHeartbeat(heartbeat, clock.now());
+        machine.acceptHeartbeat(heartbeat, HeartbeatSource.HEARTBEAT, clock.now());
     }
 
     private void submitJobs() {
--- a/src/test/java/org/springmill/control/simulation/WorkerLeaseTest.java
+++ b/src/test/java/org/springmill/control/simulation/WorkerLeaseTest.java
@@ -1,9 +1,11 @@
 package org.springmill.control.simulation;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
 import static org.springmill.control.simulation.MessageMatchers.fromWorker;
 import static org.springmill.control.simulation.MessageMatchers.isCommand;
 
+import java.nio.charset.StandardCharsets;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.ValueSource;
@@ -41,6 +43,22 @@
         assertEquals(2, cluster.starts(FIRST_TASK));
     }
 
+    @Test
+    void expiredLeaseIsCountedOnceWhileTheEndOfItsAttemptWaitsForItsCommit() {
+        submitService(0, JOB, "red", 1, 1);
+        cluster.run(8);
+        cluster.cloud().setDown(true);
+        cluster.workerRunning(FIRST_TASK).setHung(true);
+        cluster.run(12);
+        cluster.keyValueStore().delayCommits(0.6);
+        cluster.run(6);
+        String metrics =
+                new String(
+                        cluster.ask(cluster.leader(), "GET", "/metrics", "").body(),
+                        StandardCharsets.UTF_8);
+        assertTrue(metrics.contains("springmill_worker_leases_expired_total 1.00000\n"), metrics);
+    }
+
     @Test
     void jobsRunElsewhereWhenCommandsDoNotReachAReportingMachine() {
         SimWorker unreachable = cluster.cloud().machines().values().iterator().next();
