Emulator: machines that boot during the run, heartbeats that are lost, a cloud that is out

A check that would have found ran_twice with real processes: machines.<type>.initial is how many machines are up at the start, the rest is rented and boots; faults heartbeats_lost (some machines of the first zone and all that come up meanwhile: their heartbeats reach no controller, commands reach them) and cloud_down (503).

ScenarioFileTest: the expected list of kinds names the new ones, which sort first; one case more.

--- a/src/main/java/org/springmill/emulator/EmulatedCloud.java
+++ b/src/main/java/org/springmill/emulator/EmulatedCloud.java
@@ -33,6 +33,7 @@
     private final Map<String, List<String>> namesByRequest = new HashMap<>();
     private final TreeMap<String, Rented> rented = new TreeMap<>();
     private int lastNumber;
+    private boolean down;
 
     /** Creates and destroys the machines that are rented. */
     interface Machines {
@@ -66,12 +67,12 @@
         scenario.machines().forEach(group -> types.put(group.type(), group));
     }
 
-    /** Rents all machines of the scenario, already booted and spread evenly over the zones. */
-    void rentAll() {
+    /** Rents the initial machines, already booted and spread evenly over the zones. */
+    void rentInitial() {
         List<String> zones = scenario.zoneNames();
         for (MachineGroup group : scenario.machines()) {
             free.put(group.type(), group.number());
-            for (int i = 0; i < group.number(); i++) {
+            for (int i = 0; i < group.initial(); i++) {
                 rent(group, zones.get(i % zones.size()), 0);
             }
         }
@@ -86,7 +87,16 @@
         return name;
     }
 
+    /** From now on every request is answered with 503, or requests are served again. */
+    void setDown(boolean isDown) {
+        down = isDown;
+    }
+
     void handle(Call call) {
+        if (down) {
+            call.reply(503, CloudSideMessages.encodeOutage(), 0);
+            return;
+        }
         try {
             if (call.path().equals(CloudMessages.MACHINE_TYPES_PATH)) {
                 call.reply(200, CloudSideMessages.encodeMachineTypes(machineTypes()), 0);
@@ -154,8 +164,8 @@
     }
 
     /**
-     * Lists the machines as they were one list lag earlier. Machines of {@link #rentAll} are listed
-     * from the beginning.
+     * Lists the machines as they were one list lag earlier. Machines of {@link #rentInitial} are
+     * listed from the beginning.
      */
     private void list(Call call) {
         double asOf = loop.now() - scenario.cloudLimits().listLagSeconds();
--- a/src/main/java/org/springmill/emulator/EmulatedFleet.java
+++ b/src/main/java/org/springmill/emulator/EmulatedFleet.java
@@ -34,8 +34,17 @@
     private final int network;
     private final Consumer<IOException> onFailure;
     private int createdCount;
+    private boolean loseHeartbeatsOfNewMachines;
 
-    private record Placed(EmulatedWorker worker, Transport transport) {}
+    private record Placed(EmulatedWorker worker, Transport transport, double upAt) {
+        boolean isBooting() {
+            return transport.loop().now() < upAt;
+        }
+
+        void loseHeartbeats(boolean lost) {
+            transport.loop().after(0, () -> worker.setHeartbeatsLost(lost));
+        }
+    }
 
     /**
      * @param network second octet of the loopback addresses
@@ -80,7 +89,12 @@
                         transport.newClient(EmulatedWorker.sockets()),
                         handler -> host + transport.serve(host + ANY_PORT, handler),
                         random.split());
-        workers.put(name, new Placed(worker, transport));
+        double upAt = transport.loop().now() + bootSeconds;
+        Placed placed = new Placed(worker, transport, upAt);
+        workers.put(name, placed);
+        if (loseHeartbeatsOfNewMachines) {
+            placed.loseHeartbeats(true);
+        }
         transport.loop().after(bootSeconds, () -> boot(transport, address, worker));
         return address;
     }
@@ -121,6 +135,27 @@
         }
     }
 
+    /**
+     * From now on the heartbeats of these machines, and of all that are not up yet, reach no
+     * controller.
+     */
+    void loseHeartbeats(List<String> names) {
+        loseHeartbeatsOfNewMachines = true;
+        Set<String> affected = Set.copyOf(names);
+        workers.forEach(
+                (name, placed) -> {
+                    if (affected.contains(name) || placed.isBooting()) {
+                        placed.loseHeartbeats(true);
+                    }
+                });
+    }
+
+    /** The heartbeats of all machines reach the controllers again. */
+    void deliverHeartbeats() {
+        loseHeartbeatsOfNewMachines = false;
+        workers.values().forEach(placed -> placed.loseHeartbeats(false));
+    }
+
     /** Destroys all machines, then closes their event loops. */
     void close() {
         List.copyOf(workers.keySet()).forEach(this::destroy);
--- a/src/main/java/org/springmill/emulator/EmulatedWorker.java
+++ b/src/main/java/org/springmill/emulator/EmulatedWorker.java
@@ -29,6 +29,7 @@
     private static final double NEXT_CONTROLLER_SECONDS = 1;
     private static final double MIN_HEARTBEAT_INTERVAL_SECONDS = 0.5;
     private static final double HEARTBEAT_JITTER = 0.25;
+    private static final double MIN_LEASE_CHECK_SECONDS = 0.02;
     private static final int SOCKETS = 2;
 
     private final String name;
@@ -51,6 +52,7 @@
     private boolean statusChanged;
     private boolean heartbeatScheduled;
     private boolean failed;
+    private boolean heartbeatsLost;
     private boolean destroyed;
 
     /** Objects that all workers of an emulation share. */
@@ -125,6 +127,7 @@
     /** The machine has booted. Its first heartbeat follows within one heartbeat interval. */
     void start() {
         leaseRenewedAt = loop.now();
+        watchLease();
         loop.after(
                 random.nextDouble() * environment.scenario().workers().reportSeconds(), this::tick);
     }
@@ -141,6 +144,11 @@
         failed = nowFailed;
     }
 
+    /** Its heartbeats reach no controller, or reach them again; commands arrive all the same. */
+    void setHeartbeatsLost(boolean lost) {
+        heartbeatsLost = lost;
+    }
+
     /** The machine is deleted. */
     void destroy() {
         destroyed = true;
@@ -159,8 +167,23 @@
         loop.after(environment.scenario().workers().reportSeconds() * jitter, this::tick);
     }
 
+    /** Ends the lease when it is over, whether or not anything else happens then. */
+    private void watchLease() {
+        if (destroyed) {
+            return;
+        }
+        if (!failed) {
+            checkLease();
+        }
+        loop.after(Math.max(MIN_LEASE_CHECK_SECONDS, leaseSecondsLeft()), this::watchLease);
+    }
+
+    private double leaseSecondsLeft() {
+        return leaseRenewedAt + environment.scenario().workers().leaseSeconds() - loop.now();
+    }
+
     private void checkLease() {
-        if (loop.now() - leaseRenewedAt > environment.scenario().workers().leaseSeconds()) {
+        if (leaseSecondsLeft() < 0) {
             tasks.killAll();
             epoch++;
             leaseRenewedAt = loop.now();
@@ -198,7 +221,7 @@
     }
 
     private void sendHeartbeat() {
-        if (heartbeatInFlight || failed || destroyed) {
+        if (heartbeatInFlight || heartbeatsLost || failed || destroyed) {
             return;
         }
         heartbeatInFlight = true;
--- a/src/main/java/org/springmill/emulator/Emulation.java
+++ b/src/main/java/org/springmill/emulator/Emulation.java
@@ -149,7 +149,7 @@
                         services + cloudPort,
                         services + statePort,
                         folder);
-        faults = new FaultInjector(loop, scenario, fleet, store, controllers, rules);
+        faults = new FaultInjector(loop, scenario, fleet, cloud, store, controllers, rules);
     }
 
     private List<Node> nodes() throws IOException {
@@ -241,7 +241,7 @@
         try {
             store.start();
             rules.start();
-            cloud.rentAll();
+            cloud.rentInitial();
             controllers.start();
             users.probe();
             double startedAt = loop.now();
@@ -367,6 +367,7 @@
     private Work work() {
         return new Work(
                 rules.starts(),
+                rules.repeatedStarts(),
                 timeline.stream().mapToDouble(Point::starts).max().orElse(0),
                 rules.ends(),
                 rules.lost(),
--- a/src/main/java/org/springmill/emulator/EmulationResult.java
+++ b/src/main/java/org/springmill/emulator/EmulationResult.java
@@ -67,6 +67,7 @@
     /** Counts of tasks and jobs. */
     public record Work(
             long starts,
+            long repeatedStarts,
             double peakStartsPerS,
             long ends,
             long lost,
--- a/src/main/java/org/springmill/emulator/FaultInjector.java
+++ b/src/main/java/org/springmill/emulator/FaultInjector.java
@@ -21,6 +21,7 @@
     private final EventLoop loop;
     private final Scenario scenario;
     private final EmulatedFleet fleet;
+    private final EmulatedCloud cloud;
     private final EmulatedKeyValueStore store;
     private final ControllerGroup controllers;
     private final RuleChecker rules;
@@ -46,12 +47,14 @@
             EventLoop loop,
             Scenario scenario,
             EmulatedFleet fleet,
+            EmulatedCloud cloud,
             EmulatedKeyValueStore store,
             ControllerGroup controllers,
             RuleChecker rules) {
         this.loop = loop;
         this.scenario = scenario;
         this.fleet = fleet;
+        this.cloud = cloud;
         this.store = store;
         this.controllers = controllers;
         this.rules = rules;
@@ -67,11 +70,7 @@
         activeFaults.add(new ActiveFault(fault, loop.now(), rules.running()));
         List<String> zones = scenario.zoneNames();
         switch (fault.kind()) {
-            case RACK_LOST -> {
-                List<String> inZone = fleet.machinesIn(Set.of(zones.get(0)));
-                int count = Math.min(fault.machines(), inZone.size());
-                failMachines(fault, inZone.subList(0, count));
-            }
+            case RACK_LOST -> failMachines(fault, firstMachines(fault));
             case ZONE_LOST -> failMachines(fault, fleet.machinesIn(Set.of(zones.get(0))));
             case REGION_LOST -> failMachines(fault, fleet.machinesIn(firstRegion(zones)));
             case LEADER_KILLED -> controllers.killLeader();
@@ -80,9 +79,23 @@
                 store.setDown(true);
                 endAfter(fault, () -> store.setDown(false));
             }
+            case CLOUD_DOWN -> {
+                cloud.setDown(true);
+                endAfter(fault, () -> cloud.setDown(false));
+            }
+            case HEARTBEATS_LOST -> {
+                fleet.loseHeartbeats(firstMachines(fault));
+                endAfter(fault, fleet::deliverHeartbeats);
+            }
         }
     }
 
+    /** As many machines of the first zone as the fault names. */
+    private List<String> firstMachines(Fault fault) {
+        List<String> inZone = fleet.machinesIn(Set.of(scenario.zoneNames().get(0)));
+        return inZone.subList(0, Math.min(fault.machines(), inZone.size()));
+    }
+
     private Set<String> firstRegion(List<String> zones) {
         Set<String> region = new HashSet<>();
         for (int zone = 0; zone < zones.size(); zone += scenario.regions()) {
--- a/src/main/java/org/springmill/emulator/RuleChecker.java
+++ b/src/main/java/org/springmill/emulator/RuleChecker.java
@@ -34,7 +34,9 @@
     private final Map<String, Integer> doneTasks = new HashMap<>();
     private final List<String> violations = new ArrayList<>();
     private long violationCount;
+    private final Set<TaskId> startedTasks = new HashSet<>();
     private long starts;
+    private long repeatedStarts;
     private long ends;
     private long lost;
 
@@ -52,6 +54,7 @@
     /** A task has its image and starts to run on a machine. */
     void started(TaskId task, String machine) {
         starts++;
+        repeatedStarts += startedTasks.add(task) ? 0 : 1;
         String other = machineByTask.put(task, machine);
         if (other != null) {
             recordViolation("ran_twice", task + " on " + other + " and " + machine);
@@ -189,6 +192,11 @@
         return machineByTask.size();
     }
 
+    /** Starts of tasks that had started before. */
+    long repeatedStarts() {
+        return repeatedStarts;
+    }
+
     long starts() {
         return starts;
     }
--- a/src/main/java/org/springmill/emulator/Scenario.java
+++ b/src/main/java/org/springmill/emulator/Scenario.java
@@ -44,10 +44,16 @@
             int maxSockets,
             double restartSeconds) {}
 
-    /** Machines of one type, spread evenly over all zones and rented at the start. */
+    /**
+     * Machines of one type, spread evenly over all zones.
+     *
+     * @param number how many the cloud has
+     * @param initial how many of them are rented and up at the start
+     */
     public record MachineGroup(
             String type,
             int number,
+            int initial,
             double cpus,
             double gpus,
             double memoryGb,
@@ -151,7 +157,14 @@
         /** All controllers are killed. */
         CONTROLLERS_KILLED,
         /** The key-value store is down. */
-        STATE_SERVICE_DOWN
+        STATE_SERVICE_DOWN,
+        /** The cloud answers 503. */
+        CLOUD_DOWN,
+        /**
+         * The heartbeats of some machines of the first zone, and of all machines that come up
+         * meanwhile, reach no controller, while commands reach them.
+         */
+        HEARTBEATS_LOST
     }
 
     /**
@@ -159,7 +172,8 @@
      *
      * @param atSeconds when it begins, counted from when the controllers are ready
      * @param forSeconds how long it lasts; 0 if it lasts to the end; unused for killed processes
-     * @param machines number of machines that a lost rack has
+     * @param machines number of machines of a lost rack, or of the first zone whose heartbeats are
+     *     lost
      */
     public record Fault(
             String name, FaultKind kind, double atSeconds, double forSeconds, int machines) {}
--- a/src/main/java/org/springmill/emulator/ScenarioFile.java
+++ b/src/main/java/org/springmill/emulator/ScenarioFile.java
@@ -131,10 +131,12 @@
     private static List<MachineGroup> machines(ScenarioBlock block) throws SettingsException {
         List<MachineGroup> groups = new ArrayList<>();
         for (ScenarioBlock group : block.children()) {
+            int number = (int) group.number("number", 0, 10_000);
             groups.add(
                     new MachineGroup(
                             group.label(),
-                            (int) group.number("number", 0, 10_000),
+                            number,
+                            (int) group.number("initial", number, 0, number),
                             group.number("cpus", 0.1, MAX_VALUE),
                             group.number("gpus", 0, 0, 64),
                             group.number("memory_gb", 0.1, MAX_VALUE),
--- a/src/main/java/org/springmill/protocol/counterpart/CloudSideMessages.java
+++ b/src/main/java/org/springmill/protocol/counterpart/CloudSideMessages.java
@@ -87,6 +87,11 @@
         return KeyValueStoreServerMessages.encodeError("no capacity");
     }
 
+    /** Encodes the error of every request during an outage of the cloud. */
+    public static byte[] encodeOutage() {
+        return KeyValueStoreServerMessages.encodeError("trouble");
+    }
+
     /** Encodes the list of machine types. */
     public static byte[] encodeMachineTypes(List<MachineType> types) {
         return Json.write(
--- a/src/test/java/org/springmill/emulator/ScenarioFileTest.java
+++ b/src/test/java/org/springmill/emulator/ScenarioFileTest.java
@@ -34,11 +34,12 @@
                 "zones      = 4       | zonez      = 4        | zones must be a number",
                 "seed       = 1       | sead       = 1        | sead is not known; use one of",
                 "number = 30          | number = -1           | machines.cpu.number must be a number from 0",
+                "number = 30          | number = 30, initial = 31 | machines.cpu.initial must be a number from 0 to 30",
                 "cpus_max = 400       | cpu_max = 400         | teams.cpu_max is not known; use one of cpus, cpus_max",
                 "kind = \"service\"   | kind = \"daemon\"     | jobs.replicas.kind must be one of array, gang, service; got daemon",
                 "priority = \"low\"   | priority = 3          | jobs.batch.priority must be a text in quotes",
                 "max_tasks = 3        | max_tasks = 0         | jobs.replicas.max_tasks must be a number from 1",
-                "leader_killed        | leader_gone           | faults.leader.kind must be one of controllers_killed",
+                "leader_killed        | leader_gone           | faults.leader.kind must be one of cloud_down, controllers_killed, heartbeats_lost, leader_killed",
                 "cloud {              | clouds {              | cloud is missing; add a block cloud { ... }",
                 "users {              | users                 | users is missing; add a block users { ... }",
             })
