--- a/src/main/java/org/springmill/control/autoscaling/HeartbeatMonitor.java
+++ b/src/main/java/org/springmill/control/autoscaling/HeartbeatMonitor.java
@@ -53,6 +53,6 @@
             return 0;
         }
         double countedFrom = monitoredSince + timeouts.deadAfterSeconds() / 2;
-        return now - Math.max(machine.lastHeartbeatAt(), countedFrom);
+        return now - Math.max(machine.liveness().lastHeartbeatAt(), countedFrom);
     }
 }
--- a/src/main/java/org/springmill/control/autoscaling/MachineHealth.java
+++ b/src/main/java/org/springmill/control/autoscaling/MachineHealth.java
@@ -120,7 +120,7 @@
         if (isUnresponsive(machine, fewOverdue, now)) {
             return Optional.of(DeletionReason.UNRESPONSIVE);
         }
-        if (machine.isRenewalOverdue()) {
+        if (machine.liveness().isRenewalOverdue()) {
             return Optional.of(DeletionReason.HEARTBEATS_LOST);
         }
         if (missesLeaderResponses(machine, now)) {
--- a/src/main/java/org/springmill/control/autoscaling/UnlistedMachines.java
+++ b/src/main/java/org/springmill/control/autoscaling/UnlistedMachines.java
@@ -28,7 +28,7 @@
      * can lag. The heartbeats are then missing because of the machine and not of the network.
      */
     boolean contains(Machine machine) {
-        double secondsSinceHeartbeat = listing.listedAt() - machine.lastHeartbeatAt();
+        double secondsSinceHeartbeat = listing.listedAt() - machine.liveness().lastHeartbeatAt();
         return machine.listedAt() < listing.listedAt()
                 && secondsSinceHeartbeat > listing.longestLagSeconds();
     }
--- a/src/main/java/org/springmill/control/cluster/Machine.java
+++ b/src/main/java/org/springmill/control/cluster/Machine.java
@@ -5,7 +5,6 @@
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
-import java.util.Optional;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
 import org.slf4j.event.Level;
@@ -238,14 +237,9 @@
         areReportedTasksKnown = true;
     }
 
-    /**
-     * Records that a heartbeat of its worker was answered.
-     *
-     * @param leaseSeconds a gap of more than two leases between answers restarts the time measured
-     *     by {@link #missesResponses}
-     */
-    public void heartbeatAnswered(double now, double leaseSeconds) {
-        liveness.heartbeatAnswered(now, leaseSeconds);
+    /** When heartbeats of its worker arrived and were answered. */
+    public WorkerLiveness liveness() {
+        return liveness;
     }
 
     /**
@@ -256,34 +250,6 @@
         return !hasSeenCurrentTerm() && liveness.isAnsweredForLongerThan(forSeconds, now);
     }
 
-    /**
-     * Records that its worker's lease is overdue for renewal: its heartbeats have reached no
-     * controller for a whole lease, although it may respond to commands.
-     */
-    public void markRenewalOverdue() {
-        liveness.markRenewalOverdue();
-    }
-
-    /** Whether its worker's lease is overdue for renewal; ends when a heartbeat is answered. */
-    public boolean isRenewalOverdue() {
-        return liveness.isRenewalOverdue();
-    }
-
-    /** When a heartbeat was last answered; negative infinity for never. */
-    public double lastHeartbeatAnsweredAt() {
-        return liveness.lastAnsweredAt();
-    }
-
-    /** When its latest heartbeat arrived; negative infinity for never. */
-    public double lastHeartbeatAt() {
-        return liveness.lastHeartbeatAt();
-    }
-
-    /** How its latest heartbeat arrived; empty if none has. */
-    public Optional<HeartbeatSource> lastHeartbeatSource() {
-        return liveness.lastSource();
-    }
-
     /** Whether its latest heartbeat carries a spot preemption notice. */
     public boolean hasPreemptionNotice() {
         return preemptionAt < Double.POSITIVE_INFINITY;
@@ -440,9 +406,9 @@
                 && !hasPreemptionNotice()
                 && !isQuarantined()
                 && !isDraining
-                && !isRenewalOverdue()
+                && !liveness.isRenewalOverdue()
                 && !areCommandsFailing()
-                && now - lastHeartbeatAt() < suspectAfterSeconds
+                && now - liveness.lastHeartbeatAt() < suspectAfterSeconds
                 && !faults.isCordoned(now)
                 && hasSeenCurrentTerm();
     }
--- a/src/main/java/org/springmill/control/cluster/WorkerLiveness.java
+++ b/src/main/java/org/springmill/control/cluster/WorkerLiveness.java
@@ -6,7 +6,7 @@
  * When heartbeats of one worker arrived and were answered. Times are seconds on the steady clock of
  * the leader; negative infinity stands for never.
  */
-final class WorkerLiveness {
+public final class WorkerLiveness {
     /** A longer gap between answered heartbeats, in leases, restarts {@code answeredSince}. */
     private static final double MAX_ANSWER_GAP_LEASES = 2;
 
@@ -21,12 +21,23 @@
         lastSource = Optional.of(source);
     }
 
+    /** When the latest heartbeat arrived; negative infinity for never. */
+    public double lastHeartbeatAt() {
+        return lastHeartbeatAt;
+    }
+
     /** How the latest heartbeat arrived; empty if none has. */
-    Optional<HeartbeatSource> lastSource() {
+    public Optional<HeartbeatSource> lastSource() {
         return lastSource;
     }
 
-    void heartbeatAnswered(double now, double leaseSeconds) {
+    /**
+     * Records that a heartbeat was answered.
+     *
+     * @param leaseSeconds a gap of more than two leases between answers restarts the time measured
+     *     by {@link Machine#missesResponses}
+     */
+    public void heartbeatAnswered(double now, double leaseSeconds) {
         if (now - lastAnsweredAt > MAX_ANSWER_GAP_LEASES * leaseSeconds) {
             answeredSince = now;
         }
@@ -34,20 +45,8 @@
         isRenewalOverdue = false;
     }
 
-    /** Records that no controller can have renewed the lease for its whole duration. */
-    void markRenewalOverdue() {
-        isRenewalOverdue = true;
-    }
-
-    boolean isRenewalOverdue() {
-        return isRenewalOverdue;
-    }
-
-    double lastHeartbeatAt() {
-        return lastHeartbeatAt;
-    }
-
-    double lastAnsweredAt() {
+    /** When a heartbeat was last answered; negative infinity for never. */
+    public double lastAnsweredAt() {
         return lastAnsweredAt;
     }
 
@@ -55,4 +54,17 @@
     boolean isAnsweredForLongerThan(double seconds, double now) {
         return lastAnsweredAt > Double.NEGATIVE_INFINITY && now - answeredSince > seconds;
     }
+
+    /**
+     * Records that the lease is overdue for renewal: heartbeats have reached no controller for a
+     * whole lease, although the worker may respond to commands.
+     */
+    public void markRenewalOverdue() {
+        isRenewalOverdue = true;
+    }
+
+    /** Whether the lease is overdue for renewal; ends when a heartbeat is answered. */
+    public boolean isRenewalOverdue() {
+        return isRenewalOverdue;
+    }
 }
--- a/src/main/java/org/springmill/control/controller/LeaderIsolationCheck.java
+++ b/src/main/java/org/springmill/control/controller/LeaderIsolationCheck.java
@@ -64,7 +64,7 @@
     }
 
     private boolean isUnresponsive(Machine machine, double now) {
-        return now - machine.lastHeartbeatAt() > timeouts.suspectAfterSeconds();
+        return now - machine.liveness().lastHeartbeatAt() > timeouts.suspectAfterSeconds();
     }
 
     private static int minRedirected(int unresponsive) {
--- a/src/main/java/org/springmill/control/controller/MachineSweep.java
+++ b/src/main/java/org/springmill/control/controller/MachineSweep.java
@@ -38,7 +38,7 @@
 
     private boolean isProbeDue(Machine machine) {
         return machine.state() == Machine.State.UP
-                && loop.now() - machine.lastHeartbeatAt() > timeouts.probeAfterSeconds();
+                && loop.now() - machine.liveness().lastHeartbeatAt() > timeouts.probeAfterSeconds();
     }
 
     private static boolean isRemovable(Machine machine) {
--- a/src/main/java/org/springmill/control/scheduling/MachineScore.java
+++ b/src/main/java/org/springmill/control/scheduling/MachineScore.java
@@ -81,7 +81,7 @@
         Submission spec = job.spec();
         double score = machine.imageFetchSeconds(spec, now);
         // A late heartbeat is the first sign that a machine is failing.
-        if (now - machine.lastHeartbeatAt()
+        if (now - machine.liveness().lastHeartbeatAt()
                 > timeouts.heartbeatIntervalSeconds() * HEARTBEAT_INTERVALS_UNTIL_LATE) {
             score += LATE_HEARTBEAT_PENALTY_SECONDS;
         }
--- a/src/main/java/org/springmill/control/workers/HeartbeatHandler.java
+++ b/src/main/java/org/springmill/control/workers/HeartbeatHandler.java
@@ -98,7 +98,7 @@
 
     private void renewLease(Call call, Machine machine, Heartbeat heartbeat) {
         machine.workerEpoch().recordHeartbeat(heartbeat);
-        machine.heartbeatAnswered(loop.now(), timeouts.workerLeaseSeconds());
+        machine.liveness().heartbeatAnswered(loop.now(), timeouts.workerLeaseSeconds());
         // The commands may raise the fencing token, so they are derived before it is read.
         List<Command> commands = commandsFor(machine, heartbeat);
         byte[] response = WorkerMessages.encodeHeartbeatResponse(machine.fencingToken(), commands);
--- a/src/main/java/org/springmill/control/workers/LeaseExpiry.java
+++ b/src/main/java/org/springmill/control/workers/LeaseExpiry.java
@@ -51,7 +51,7 @@
             return true;
         }
         if (machine.state() == Machine.State.UP
-                && !machine.isRenewalOverdue()
+                && !machine.liveness().isRenewalOverdue()
                 && leases.isRenewalOverdue(machine, peersMayRenewUntil, now)) {
             renewalOverdue(machine, now);
         }
@@ -90,7 +90,7 @@
                 machine.name(),
                 grant.kind(),
                 seconds(now - grant.at()),
-                seconds(now - machine.lastHeartbeatAt()),
+                seconds(now - machine.liveness().lastHeartbeatAt()),
                 lastHeardBy(machine),
                 fleet.term(),
                 machine.epoch(),
@@ -103,20 +103,20 @@
      * lease: what runs there ends with its epoch.
      */
     private void renewalOverdue(Machine machine, double now) {
-        machine.markRenewalOverdue();
+        machine.liveness().markRenewalOverdue();
         metrics.recordRenewalOverdue();
         LOG.warn(
                 "heartbeats of worker {} reach no controller: last answered {} s ago, last heard {} s ago by {}; term {}, epoch {}",
                 machine.name(),
-                seconds(now - machine.lastHeartbeatAnsweredAt()),
-                seconds(now - machine.lastHeartbeatAt()),
+                seconds(now - machine.liveness().lastAnsweredAt()),
+                seconds(now - machine.liveness().lastHeartbeatAt()),
                 lastHeardBy(machine),
                 fleet.term(),
                 machine.epoch());
     }
 
     private static String lastHeardBy(Machine machine) {
-        return machine.lastHeartbeatSource().map(HeartbeatSource::name).orElse(NEVER_HEARD);
+        return machine.liveness().lastSource().map(HeartbeatSource::name).orElse(NEVER_HEARD);
     }
 
     private static String seconds(double duration) {
--- a/src/main/java/org/springmill/control/workers/WorkerLeases.java
+++ b/src/main/java/org/springmill/control/workers/WorkerLeases.java
@@ -45,7 +45,7 @@
      * @param peersMayRenewUntil time until which other controllers may renew leases
      */
     LeaseGrant latestGrant(Machine machine, double peersMayRenewUntil) {
-        return new LeaseGrant(Kind.HEARTBEAT_ANSWERED, machine.lastHeartbeatAnsweredAt())
+        return new LeaseGrant(Kind.HEARTBEAT_ANSWERED, machine.liveness().lastAnsweredAt())
                 .latest(new LeaseGrant(Kind.RENEWED_BY_PEER, peersMayRenewUntil))
                 .latest(
                         new LeaseGrant(
@@ -60,7 +60,7 @@
      * still hold the lease that it began with.
      */
     boolean isRenewalOverdue(Machine machine, double peersMayRenewUntil, double now) {
-        double lastRenewal = Math.max(machine.lastHeartbeatAnsweredAt(), peersMayRenewUntil);
+        double lastRenewal = Math.max(machine.liveness().lastAnsweredAt(), peersMayRenewUntil);
         double countedFrom = Math.max(lastRenewal, machine.workerEpoch().currentTermSeenAt());
         return now > countedFrom + timeouts.workerLeaseSeconds();
     }
