Emulated worker: a failed machine does not look at its lease fifty times a second

Found on reading the change again: while a machine was failed its lease had run out, so the timer that ends leases came due every 0.02 s, for each machine of a lost zone. It now comes due once per heartbeat interval until the machine recovers, which begins a new lease. The comment of WorkerLeases.isRenewalOverdue says what the time is counted from.

--- a/src/main/java/org/springmill/control/workers/WorkerLeases.java
+++ b/src/main/java/org/springmill/control/workers/WorkerLeases.java
@@ -55,9 +55,9 @@
     }
 
     /**
-     * Whether no controller can have renewed the lease of a machine's worker for its whole
-     * duration, counted from the worker's first obedience to this leader. Its present epoch may
-     * still hold the lease that it began with.
+     * Whether no controller can have renewed the lease of a machine's worker for its whole duration
+     * since the worker first showed a token of this term. The lease with which its present epoch
+     * began may still be valid.
      */
     boolean isRenewalOverdue(Machine machine, double peersMayRenewUntil, double now) {
         double lastRenewal = Math.max(machine.liveness().lastAnsweredAt(), peersMayRenewUntil);
--- a/src/main/java/org/springmill/emulator/EmulatedWorker.java
+++ b/src/main/java/org/springmill/emulator/EmulatedWorker.java
@@ -172,9 +172,12 @@
         if (destroyed) {
             return;
         }
-        if (!failed) {
-            checkLease();
+        if (failed) {
+            // Its tasks have ended, and a new lease begins when it recovers.
+            loop.after(environment.scenario().workers().reportSeconds(), this::watchLease);
+            return;
         }
+        checkLease();
         loop.after(Math.max(MIN_LEASE_CHECK_SECONDS, leaseSecondsLeft()), this::watchLease);
     }
 
