--- a/review/2/run.sh
+++ b/review/2/run.sh
@@ -6,7 +6,7 @@
 root="$(cd "$case_folder/../.." && pwd)"
 work="$(mktemp -d)"
 trap 'rm -rf "$work"' EXIT
-timeout --signal=TERM --kill-after=3 115 \
+timeout --signal=TERM --kill-after=3 118 \
   java -Xmx512m -cp "$root/review/target/classes:$root/target/springmill.jar" \
   RepeatedCommit "$root" "$work" "$case_folder/record.txt"
 status=$?
--- a/review/standins/Controllers.java
+++ b/review/standins/Controllers.java
@@ -16,6 +16,7 @@
     private final Path folder;
     private final List<String> command;
     private final Process[] processes = new Process[NODES.size()];
+    private boolean closed;
     final List<String> api = new ArrayList<>();
     final List<String> peer = new ArrayList<>();
 
@@ -88,7 +89,10 @@
         return folder.resolve(NODES.get(node) + ".toml");
     }
 
-    void start(int node) throws IOException {
+    synchronized void start(int node) throws IOException {
+        if (closed) {
+            return;
+        }
         List<String> line = new ArrayList<>(command);
         line.add(settings(node).toString());
         Path log = folder.resolve(NODES.get(node) + ".log");
@@ -108,7 +112,8 @@
         return processes[node] != null && processes[node].isAlive();
     }
 
-    private void killAll() {
+    private synchronized void killAll() {
+        closed = true;
         for (Process process : processes) {
             if (process != null) {
                 process.destroyForcibly();
