Rounds depend on their predecessor: a copy of an answered round is refused

Cause: a round was idempotent only while its first key existed, and compaction deleted that key unless a copy of the round had gone without a response. An answer says nothing about the copies that a network still holds. A copy of an answered round found the key absent, was committed while the leader's record stood, and brought back a claim whose end was no longer stored.

Change: each round is also conditional on the newest value before it, at the version that the leader knows. While that value is unchanged the round's key exists, since values are deleted from the oldest on; once it is deleted its version never returns. The first round of an empty log has the record round-log as predecessor and changes it. It costs one condition a round, no write, and one read after a round whose response was lost.

RoundRecordBytesTest and RecordGenerationsTest compare whole transactions: the new condition and record join their literals, stored rounds keep their bytes.

--- a/src/main/java/org/springmill/control/storage/RoundCodec.java
+++ b/src/main/java/org/springmill/control/storage/RoundCodec.java
@@ -25,6 +25,9 @@
 final class RoundCodec {
     static final String PREFIX = "round/";
 
+    /** Key of the record that is written with the first round of an empty log. */
+    static final String LOG_START_KEY = "round-log";
+
     /** Share of the value limit that is filled; the rest is for punctuation that isn't counted. */
     static final double FILL_RATIO = 0.9;
 
--- a/src/main/java/org/springmill/control/storage/RoundIndex.java
+++ b/src/main/java/org/springmill/control/storage/RoundIndex.java
@@ -9,6 +9,7 @@
 import java.util.Map;
 import org.springmill.control.storage.RoundCodec.RoundValue;
 import org.springmill.control.storage.RoundLog.RecoveredRounds;
+import org.springmill.protocol.KeyValueStoreMessages.Condition;
 import org.springmill.protocol.KeyValueStoreMessages.Entry;
 
 /**
@@ -19,6 +20,7 @@
     private final ArrayDeque<StoredRound> values = new ArrayDeque<>();
     private final Map<String, StoredRound> valueByClaim = new HashMap<>();
     private long lastNumber;
+    private long logStartVersion;
 
     /** Number of the last round that is known to be committed. */
     long lastNumber() {
@@ -38,11 +40,25 @@
         return values;
     }
 
+    /** Sets the version of the record that stands for the predecessor while the log is empty. */
+    void setLogStartVersion(long version) {
+        logStartVersion = version;
+    }
+
+    /** The condition that no round was committed after the newest one known here. */
+    Condition predecessor() {
+        StoredRound newest = values.peekLast();
+        return newest == null
+                ? new Condition(RoundCodec.LOG_START_KEY, logStartVersion)
+                : new Condition(newest.key(), newest.version());
+    }
+
     /** Adds a value that was read from the key-value store. */
     void replay(Entry entry) {
         long number = RoundCodec.number(entry.key());
         RoundValue content = RoundCodec.decode(entry.value(), number);
         StoredRound value = new StoredRound(entry.key());
+        value.setVersion(entry.version());
         value.addBytes(content.claims().size() * StoredRound.ESTIMATED_CLAIM_BYTES);
         value.addBytes(content.ended().size() * StoredRound.ESTIMATED_END_BYTES);
         add(value, content.claims());
--- a/src/main/java/org/springmill/control/storage/RoundLog.java
+++ b/src/main/java/org/springmill/control/storage/RoundLog.java
@@ -6,6 +6,7 @@
 import java.util.Map;
 import java.util.function.Consumer;
 import java.util.function.Predicate;
+import org.springmill.control.storage.KeyValueStoreClient.ReadResult;
 import org.springmill.protocol.KeyValueStoreMessages.Condition;
 import org.springmill.protocol.KeyValueStoreMessages.Entry;
 import org.springmill.protocol.KeyValueStoreMessages.Page;
@@ -19,7 +20,7 @@
  *
  * <p>A round holds its claims, the ends of earlier claims and completed tasks. It is written in one
  * transaction whose condition is the leader's own record, so a copy that arrives after a failover
- * fails.
+ * fails. Each is also conditional on its predecessor, so a copy that arrives earlier fails too.
  *
  * <p>Compaction deletes the oldest values first, once later values hold the content that is still
  * needed. An end is therefore never deleted before the claim that it ends. Several transactions may
@@ -56,6 +57,7 @@
     private final RoundWriter writer;
     private final int maxItemsPerRound;
     private final Reserve reserve;
+    private boolean isLogStartKnown;
 
     /** The part of each transaction that rounds leave free for writes of other records. */
     public record Reserve(int writes, int bytes) {
@@ -147,9 +149,17 @@
      * @param done receives null if the key-value store could not be read
      */
     public void load(Consumer<RecoveredRounds> done) {
+        store.get(RoundCodec.LOG_START_KEY, this::logStartRead);
         store.list(RoundCodec.PREFIX, page -> pageRead(page, done));
     }
 
+    private void logStartRead(ReadResult read) {
+        if (read.served()) {
+            isLogStartKnown = true;
+            index.setLogStartVersion(read.entry() == null ? 0 : read.entry().version());
+        }
+    }
+
     private void pageRead(Page page, Consumer<RecoveredRounds> done) {
         if (writer.isClosed()) {
             return;
@@ -161,7 +171,8 @@
         for (Entry entry : page.entries()) {
             index.replay(entry);
         }
-        done.accept(index.recover());
+        boolean isPredecessorKnown = index.size() > 0 || isLogStartKnown;
+        done.accept(isPredecessorKnown ? index.recover() : null);
     }
 
     /**
--- a/src/main/java/org/springmill/control/storage/RoundWriter.java
+++ b/src/main/java/org/springmill/control/storage/RoundWriter.java
@@ -21,10 +21,13 @@
 /**
  * Appends rounds, each in one transaction, and splits those that are too large for one.
  *
- * <p>A transaction without a response is resent unchanged until its outcome is known. The request
- * is idempotent: its condition is that the round's key does not exist, so at most one copy is
- * applied. Another copy may reach the store at any later time of the term, so the key has to be
- * kept even after the round's content is no longer needed.
+ * <p>A transaction without a response is resent unchanged until its outcome is known. Copies of any
+ * transaction, answered or not, may reach the store at any later time of the term, so each is
+ * applied at most once by its conditions: the round's key does not exist, and the newest value
+ * before it, its predecessor, has the version that it had when the round was written. Compaction
+ * removes values from the oldest on. So while the predecessor is unchanged the round's key exists,
+ * and once the predecessor is removed its version never returns. The first round of an empty log
+ * has a record of its own as predecessor, which it changes itself.
  */
 final class RoundWriter {
     /** All parts of the round log use its name for logging. */
@@ -89,6 +92,7 @@
         private final Runnable onLeadershipLost;
         private final RoundEncoder encoder;
         private final List<StoredRound> replaced;
+
         private final List<Condition> conditions = new ArrayList<>();
         private final List<Write> writes = new ArrayList<>();
 
@@ -120,10 +124,14 @@
             replaced = compactor.compact(encoder, endingKeys(), attached.size());
             encoder.values()
                     .forEach(value -> writes.add(Write.put(value.stored().key(), value.json())));
-            replaced.forEach(old -> writes.add(removalOf(old)));
+            replaced.forEach(old -> writes.add(Write.delete(old.key())));
+            if (index.size() == 0) {
+                writes.add(Write.put(RoundCodec.LOG_START_KEY, RoundCodec.emptyValue()));
+            }
             writes.addAll(attached);
             conditions.add(termCondition);
             conditions.add(new Condition(firstKey(), 0));
+            conditions.add(index.predecessor());
         }
 
         private Map<String, BitSet> completedTasks() {
@@ -144,18 +152,6 @@
             return ending;
         }
 
-        /**
-         * If the key were deleted, a late copy of the value's transaction would succeed and restore
-         * claims whose ends are no longer stored. So the key is kept with an empty value, which
-         * makes that copy fail. In the next term the copy fails because of the term condition, and
-         * the key can be deleted.
-         */
-        private Write removalOf(StoredRound old) {
-            return old.mayBeAppliedAgain()
-                    ? Write.put(old.key(), RoundCodec.emptyValue())
-                    : Write.delete(old.key());
-        }
-
         private String firstKey() {
             return encoder.first().stored().key();
         }
@@ -182,7 +178,7 @@
                 return;
             }
             switch (result.outcome()) {
-                case COMMITTED -> committed();
+                case COMMITTED -> committed(result.revision());
                 case REJECTED -> rejected(result);
                 case TOO_LARGE -> split();
                 // The request is idempotent.
@@ -207,16 +203,17 @@
             } else if (!keyExists) {
                 LOG.error("round {} rejected by the key-value store: term ends", firstKey());
                 onLeadershipLost.run();
-            } else if (largerWithUnknownOutcome == null) {
-                // The key exists and the term condition held. Only this leader writes rounds, so
-                // an earlier copy was applied.
-                committed();
             } else {
+                // Only this leader writes rounds, so an earlier transaction of this number was
+                // applied.
                 readBack();
             }
         }
 
-        /** Reads the stored value, which shows which transaction of this number was applied. */
+        /**
+         * Reads the stored value, which shows which transaction of this number was applied, and at
+         * which revision.
+         */
         private void readBack() {
             store.get(firstKey(), this::readBackReceived);
         }
@@ -231,8 +228,7 @@
             }
             for (Transaction sent = this; sent != null; sent = sent.largerWithUnknownOutcome) {
                 if (sent.wrote(read.entry().value())) {
-                    sent.isOutcomeUnknown |= isOutcomeUnknown;
-                    sent.committed();
+                    sent.committed(read.entry().version());
                     return;
                 }
             }
@@ -282,18 +278,18 @@
                     onLeadershipLost);
         }
 
-        private void committed() {
+        private void committed(long revision) {
             index.setLastNumber(number);
-            for (Transaction sent = this; sent != null; sent = sent.largerWithUnknownOutcome) {
-                if (sent.isOutcomeUnknown) {
-                    encoder.first().stored().setMayBeAppliedAgain();
-                }
-            }
-            encoder.values().forEach(value -> index.add(value.stored(), value.claims()));
+            encoder.values().forEach(value -> addToIndex(value, revision));
             index.removeAll(replaced);
             encoder.releaseCarriedCompleted();
             ends.forEach(end -> index.removeClaim(end.claim().key()));
             onCommitted.run();
         }
+
+        private void addToIndex(RoundEncoder.EncodedValue value, long revision) {
+            value.stored().setVersion(revision);
+            index.add(value.stored(), value.claims());
+        }
     }
 }
--- a/src/main/java/org/springmill/control/storage/StoredRound.java
+++ b/src/main/java/org/springmill/control/storage/StoredRound.java
@@ -16,7 +16,7 @@
     private final Map<String, Claim> claims = new LinkedHashMap<>();
     private final Map<String, BitSet> completed = new LinkedHashMap<>();
     private int bytes;
-    private boolean mayBeAppliedAgain;
+    private long version;
 
     StoredRound(String key) {
         this.key = key;
@@ -54,12 +54,12 @@
         return claims.size() * ESTIMATED_CLAIM_BYTES;
     }
 
-    /** Whether a late copy of its transaction, sent in this term, may still reach the store. */
-    boolean mayBeAppliedAgain() {
-        return mayBeAppliedAgain;
+    /** Revision of the transaction that wrote it. */
+    long version() {
+        return version;
     }
 
-    void setMayBeAppliedAgain() {
-        mayBeAppliedAgain = true;
+    void setVersion(long revision) {
+        version = revision;
     }
 }
--- a/src/test/java/org/springmill/control/storage/RecordGenerationsTest.java
+++ b/src/test/java/org/springmill/control/storage/RecordGenerationsTest.java
@@ -68,6 +68,9 @@
     private static final String COMPLETED_TASKS =
             "\"done\":[[\"run-000412\",\"5\"],[\"run-000412\",\"@16384:VVVVVVVVVVVVVVVVVVVVVVVVVVVVVVVVVQ\"]]";
 
+    /** Written with the first round of an empty log; versions that do not know it never read it. */
+    private static final String LOG_START = ",{\"write\":\"round-log\",\"value\":{\"v\":1}}";
+
     private static final Settings SETTINGS = SettingsFixtures.small();
 
     private static final EventLoop FIXED_CLOCK =
@@ -187,6 +190,12 @@
         return "\"writes\":[{\"write\":\"round/%015d.00\",\"value\":%s}]}".formatted(round, value);
     }
 
+    /** The first round of an empty log, with the record that those versions did not write. */
+    private static String putFirst(String value) {
+        String round = put(1, value);
+        return round.substring(0, round.length() - 2) + LOG_START + "]}";
+    }
+
     @Test
     void roundsKeepTheirBytes() {
         List<String> written = new ArrayList<>();
@@ -207,7 +216,7 @@
                 () -> {},
                 () -> {});
         log.append(List.of(), ends, List.of(), () -> {}, () -> {});
-        assertEquals(List.of(put(1, CARRIED_AND_NEW), put(2, ENDED), put(3, RANGES)), written);
+        assertEquals(List.of(putFirst(CARRIED_AND_NEW), put(2, ENDED), put(3, RANGES)), written);
     }
 
     @Test
@@ -223,7 +232,7 @@
         ends.add(new ClaimEnd(new Claim("k", new TaskId("run-000412", 5), "host-000007", 3), true));
         rounds(List.of(), written).append(List.of(), ends, List.of(), () -> {}, () -> {});
         String completedTasks = written.get(0).substring(written.get(0).indexOf("\"done\""));
-        assertEquals(COMPLETED_TASKS + "}}]}", completedTasks);
+        assertEquals(COMPLETED_TASKS + "}}" + LOG_START + "]}", completedTasks);
     }
 
     private static RecoveredRounds readBack(List<String> values) {
--- a/src/test/java/org/springmill/control/storage/RoundRecordBytesTest.java
+++ b/src/test/java/org/springmill/control/storage/RoundRecordBytesTest.java
@@ -41,12 +41,15 @@
     private static final Condition LEADERSHIP = new Condition("leader", 7);
     private static final int LARGE_VALUE_BYTES = 8192;
     private static final int SMALL_VALUE_BYTES = 256;
+    private static final int FIRST_REVISION = 432;
 
     private final VirtualClock clock = new VirtualClock();
 
     /** Bodies of the transactions sent to the key-value store. */
     private final List<String> transactions = new ArrayList<>();
 
+    private int nextRevision = FIRST_REVISION;
+
     /** The key-value store's response to a read of all rounds. */
     private String storedRounds = "{\"pairs\":[],\"truncated\":false,\"ledgerRev\":431}";
 
@@ -76,7 +79,8 @@
             return new Reply(200, storedRounds.getBytes(StandardCharsets.UTF_8));
         }
         transactions.add(new String(request.body(), StandardCharsets.UTF_8));
-        return new Reply(200, "{\"ledgerRev\":432}".getBytes(StandardCharsets.UTF_8));
+        String answer = "{\"ledgerRev\":" + nextRevision++ + "}";
+        return new Reply(200, answer.getBytes(StandardCharsets.UTF_8));
     }
 
     private void append(RoundLog log, List<Claim> claims, List<RoundLog.ClaimEnd> ends) {
@@ -111,11 +115,14 @@
                         new RoundLog.ClaimEnd(notCompleted, false)));
         assertEquals(
                 List.of(
-                        "{\"when\":[{\"key\":\"leader\",\"stamp\":7},{\"key\":\"round/000000000000001.00\",\"stamp\":0}],\"writes\":["
+                        "{\"when\":[{\"key\":\"leader\",\"stamp\":7},{\"key\":\"round/000000000000001.00\",\"stamp\":0},"
+                                + "{\"key\":\"round-log\",\"stamp\":0}],\"writes\":["
                                 + "{\"write\":\"round/000000000000001.00\",\"value\":{\"v\":1,\"claims\":["
                                 + "[\"run-000412\",3,\"host-000231\",\"tDfKKoWOU297utgnIjTBdw\"],"
-                                + "[\"run-000398\",0,\"host-000232\",\"zsIa9HGA89uFGrGKdtXDPw\"]]}}]}",
-                        "{\"when\":[{\"key\":\"leader\",\"stamp\":7},{\"key\":\"round/000000000000002.00\",\"stamp\":0}],\"writes\":["
+                                + "[\"run-000398\",0,\"host-000232\",\"zsIa9HGA89uFGrGKdtXDPw\"]]}},"
+                                + "{\"write\":\"round-log\",\"value\":{\"v\":1}}]}",
+                        "{\"when\":[{\"key\":\"leader\",\"stamp\":7},{\"key\":\"round/000000000000002.00\",\"stamp\":0},"
+                                + "{\"key\":\"round/000000000000001.00\",\"stamp\":432}],\"writes\":["
                                 + "{\"write\":\"round/000000000000002.00\",\"value\":{\"v\":1,\"claims\":["
                                 + "[\"run-000412\",4,\"host-000231\",\"Mdly9_hf1hXQ8Gxg_utnvg\"]],"
                                 + "\"ended\":[\"tDfKKoWOU297utgnIjTBdw\",\"zsIa9HGA89uFGrGKdtXDPw\"],"
@@ -133,7 +140,8 @@
         append(log, claims, List.of());
         assertEquals(
                 List.of(
-                        "{\"when\":[{\"key\":\"leader\",\"stamp\":7},{\"key\":\"round/000000000000001.00\",\"stamp\":0}],\"writes\":["
+                        "{\"when\":[{\"key\":\"leader\",\"stamp\":7},{\"key\":\"round/000000000000001.00\",\"stamp\":0},"
+                                + "{\"key\":\"round-log\",\"stamp\":0}],\"writes\":["
                                 + "{\"write\":\"round/000000000000001.00\",\"value\":{\"v\":1,\"claims\":["
                                 + "[\"run-000412\",0,\"host-000231\",\"7O0XWVjZ-cTuq_hsYgohmA\"],"
                                 + "[\"run-000412\",1,\"host-000231\",\"MAxZ7gsQtpomaK0iutQdWw\"]]}},"
@@ -141,7 +149,8 @@
                                 + "[\"run-000412\",2,\"host-000231\",\"5pnuKYPEAW46MPRbrQziFg\"],"
                                 + "[\"run-000412\",3,\"host-000231\",\"tDfKKoWOU297utgnIjTBdw\"]]}},"
                                 + "{\"write\":\"round/000000000000001.02\",\"value\":{\"v\":1,\"claims\":["
-                                + "[\"run-000412\",4,\"host-000231\",\"6Cg-X4CJrmw1IyV7gDsuxA\"]]}}]}"),
+                                + "[\"run-000412\",4,\"host-000231\",\"6Cg-X4CJrmw1IyV7gDsuxA\"]]}},"
+                                + "{\"write\":\"round-log\",\"value\":{\"v\":1}}]}"),
                 transactions);
     }
 
@@ -169,13 +178,15 @@
         append(log, List.of(claim("run-000412", 6, "host-000232", 8)), List.of());
         assertEquals(
                 List.of(
-                        "{\"when\":[{\"key\":\"leader\",\"stamp\":7},{\"key\":\"round/000000000000007.00\",\"stamp\":0}],\"writes\":["
+                        "{\"when\":[{\"key\":\"leader\",\"stamp\":7},{\"key\":\"round/000000000000007.00\",\"stamp\":0},"
+                                + "{\"key\":\"round/000000000000006.00\",\"stamp\":437}],\"writes\":["
                                 + "{\"write\":\"round/000000000000007.00\",\"value\":{\"v\":1,\"claims\":["
                                 + "[\"run-000412\",5,\"host-000232\",\"0D4V-B0Eo7OBtu4GM0BDZA\"],"
                                 + "[\"run-000412\",0,\"host-000231\",\"7O0XWVjZ-cTuq_hsYgohmA\",1]],"
                                 + "\"done\":[[\"run-000412\",\"1\"]]}},"
                                 + "{\"delete\":\"round/000000000000001.00\"},{\"delete\":\"round/000000000000002.00\"}]}",
-                        "{\"when\":[{\"key\":\"leader\",\"stamp\":7},{\"key\":\"round/000000000000008.00\",\"stamp\":0}],\"writes\":["
+                        "{\"when\":[{\"key\":\"leader\",\"stamp\":7},{\"key\":\"round/000000000000008.00\",\"stamp\":0},"
+                                + "{\"key\":\"round/000000000000007.00\",\"stamp\":438}],\"writes\":["
                                 + "{\"write\":\"round/000000000000008.00\",\"value\":{\"v\":1,\"claims\":["
                                 + "[\"run-000412\",6,\"host-000232\",\"hXCUzJQXnl9UKuWRCSDB0A\"]]}}]}"),
                 transactions);
@@ -211,6 +222,35 @@
         assertEquals(4, log.storedValueCount());
     }
 
+    /** A round is conditional on the newest stored value, also on that of an earlier term. */
+    @Test
+    void theFirstRoundOfATermDependsOnTheNewestStoredValue() {
+        storedRounds =
+                "{\"pairs\":["
+                        + "{\"key\":\"round/000000000000002.00\",\"stamp\":10,\"value\":{\"v\":1}},"
+                        + "{\"key\":\"round/000000000000005.00\",\"stamp\":12,\"value\":{\"v\":1}},"
+                        + "{\"key\":\"round/000000000000005.01\",\"stamp\":12,\"value\":{\"v\":1}}"
+                        + "],\"truncated\":false,\"ledgerRev\":431}";
+        RoundLog log = roundLog(LARGE_VALUE_BYTES, 12);
+        log.load(recovered -> {});
+        clock.run(10);
+        append(log, List.of(claim("run-000412", 5, "host-000232", 6)), List.of());
+        append(log, List.of(claim("run-000412", 6, "host-000232", 7)), List.of());
+        assertEquals(
+                List.of(
+                        "{\"when\":[{\"key\":\"leader\",\"stamp\":7},{\"key\":\"round/000000000000006.00\",\"stamp\":0},"
+                                + "{\"key\":\"round/000000000000005.01\",\"stamp\":12}],\"writes\":["
+                                + "{\"write\":\"round/000000000000006.00\",\"value\":{\"v\":1,\"claims\":["
+                                + "[\"run-000412\",5,\"host-000232\",\"%s\"]]}}]}"
+                                        .formatted(claim("run-000412", 5, "host-000232", 6).key()),
+                        "{\"when\":[{\"key\":\"leader\",\"stamp\":7},{\"key\":\"round/000000000000007.00\",\"stamp\":0},"
+                                + "{\"key\":\"round/000000000000006.00\",\"stamp\":432}],\"writes\":["
+                                + "{\"write\":\"round/000000000000007.00\",\"value\":{\"v\":1,\"claims\":["
+                                + "[\"run-000412\",6,\"host-000232\",\"%s\"]]}}]}"
+                                        .formatted(claim("run-000412", 6, "host-000232", 7).key())),
+                transactions);
+    }
+
     @Test
     void completedTaskSetsAreRangesOrBitmaps() {
         BitSet scattered = new BitSet();
--- a/src/test/java/org/springmill/sim/SimKeyValueStore.java
+++ b/src/test/java/org/springmill/sim/SimKeyValueStore.java
@@ -2,6 +2,7 @@
 
 import com.fasterxml.jackson.databind.JsonNode;
 import com.fasterxml.jackson.databind.ObjectMapper;
+import java.util.ArrayList;
 import java.util.List;
 import java.util.SplittableRandom;
 import java.util.function.Consumer;
@@ -22,6 +23,7 @@
     private SplittableRandom random;
     private double delayedCommitShare;
     private Consumer<JsonNode> onCommit = transaction -> {};
+    private final List<Request> committed = new ArrayList<>();
 
     SimKeyValueStore(VirtualClock clock, int valueBytes, int writesPerCommit) {
         this.clock = clock;
@@ -113,12 +115,29 @@
                 request.body(),
                 reply -> {
                     if (request.path().equals("/commit") && reply.ok()) {
+                        committed.add(request);
                         onCommit.accept(parse(request.body()));
                     }
                     done.accept(reply);
                 });
     }
 
+    /** The requests of all transactions that were committed, oldest first. */
+    public List<Request> committedTransactions() {
+        return List.copyOf(committed);
+    }
+
+    /**
+     * Delivers a late copy of a transaction that was committed before.
+     *
+     * @return whether the copy was committed too
+     */
+    public boolean commitAgain(Request transaction) {
+        int before = committed.size();
+        apply("", transaction, reply -> {});
+        return committed.size() > before;
+    }
+
     /** Sets a listener that is called with each transaction when it is committed. */
     void onCommit(Consumer<JsonNode> listener) {
         onCommit = listener;
