A user is told "cancelled" only once a controller that can end the tasks knows their machines

Cause: a right was kept because another party was assumed to act, and nothing made sure that this party existed. A controller in a partitioned zone renews its workers' leases past the freshness bound, for "a leader outside" deletes the machines of cancelled tasks (claim 8.4c). With the leader inside and the store out before an election there is none. Trace on the former sources: no term after the first, no deletion, the task on its machine 44.5 s after the answer. With a leader outside that crashes in the outage the same happens.

Change (claim 8.7): the leader, asked by the controller that commits a cancellation, sends all controllers the machines on which tasks of the job may be, and again when these have ended. If it does not answer within half an interval of status requests, the controller reads the claims from the store and sends their machines to the others. Only then is the user told; otherwise the answer is 503. Cancellations, polls and repeated submissions at every controller pass the same gate. While no controller is heard to lead, each that knows machines of overdue tasks deletes them through the cloud, which needs no leadership. So the zone keeps its work, and the promise is given only when somebody is able to keep it.

The tests' partitioned zone now also loses the responses of watches that were open before; without that the leader inside learned of the cancellation. Peers exchange two new kinds of records; earlier versions drop them with a warning.

--- /dev/null
+++ b/src/main/java/org/springmill/control/cancellation/CancelledTaskDeletion.java
@@ -0,0 +1,143 @@
+package org.springmill.control.cancellation;
+
+import java.util.List;
+import java.util.function.BooleanSupplier;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
+import org.springmill.control.membership.Peers;
+import org.springmill.control.timing.Timeouts;
+import org.springmill.protocol.CloudMessages;
+import org.springmill.transport.EventLoop;
+import org.springmill.transport.HttpClient;
+import org.springmill.transport.HttpClient.Reply;
+import org.springmill.transport.HttpClient.Request;
+
+/**
+ * Deletes the machines of overdue cancelled tasks while no controller is heard to lead. Deletion
+ * needs no leadership: whatever it ends has ended (docs/design.md, claim 6.4). While a leader is
+ * heard, that leader deletes them, and is asked which tasks are left.
+ */
+final class CancelledTaskDeletion {
+    private static final Logger LOG = LoggerFactory.getLogger(CancelledTaskDeletion.class);
+
+    /** Half of what the link to a controller queues. */
+    private static final int MAX_UPDATES_PER_CHECK = 8;
+
+    /** The request timeout is set so that three consecutive attempts fit into one worker lease. */
+    private static final double ATTEMPTS_PER_LEASE = 3;
+
+    private final CancelledTasks cancelledTasks;
+    private final LeaderKnowledge leaderKnowledge;
+    private final Peers peers;
+    private final HttpClient http;
+    private final EventLoop loop;
+    private final Timeouts timeouts;
+    private final String cloudAddress;
+    private final double rememberSeconds;
+    private final BooleanSupplier isLeading;
+    private boolean isRequestPending;
+
+    /**
+     * @param rememberSeconds how long the machines of a job are kept while a leader is heard
+     */
+    CancelledTaskDeletion(
+            CancelledTasks cancelledTasks,
+            LeaderKnowledge leaderKnowledge,
+            BooleanSupplier isLeading,
+            Peers peers,
+            HttpClient http,
+            EventLoop loop,
+            Timeouts timeouts,
+            String cloudAddress,
+            double rememberSeconds) {
+        this.cancelledTasks = cancelledTasks;
+        this.leaderKnowledge = leaderKnowledge;
+        this.isLeading = isLeading;
+        this.peers = peers;
+        this.http = http;
+        this.loop = loop;
+        this.timeouts = timeouts;
+        this.cloudAddress = cloudAddress;
+        this.rememberSeconds = rememberSeconds;
+    }
+
+    /** Runs one check and schedules the next. */
+    void run() {
+        loop.after(timeouts.leaderRenewIntervalSeconds(), this::run);
+        double now = loop.now();
+        cancelledTasks.forgetEndedSince(now - rememberSeconds);
+        List<String> overdue =
+                cancelledTasks.jobsWithMachinesSince(
+                        now - timeouts.cancellationDeletionTimeoutSeconds());
+        if (isLeading.getAsBoolean()) {
+            updateAsLeader();
+        } else if (peers.anyLeads()) {
+            overdue.forEach(peers::queryCancelledTasks);
+            cancelledTasks
+                    .jobsWithMachinesSince(now - rememberSeconds)
+                    .forEach(cancelledTasks::forget);
+        } else {
+            deleteMachinesOf(overdue);
+        }
+    }
+
+    /** Tells the other controllers where tasks have ended since the last check. */
+    private void updateAsLeader() {
+        cancelledTasks.jobsWithMachinesSince(Double.POSITIVE_INFINITY).stream()
+                .filter(this::hasChanged)
+                .limit(MAX_UPDATES_PER_CHECK)
+                .toList()
+                .forEach(this::updateAsLeader);
+    }
+
+    private boolean hasChanged(String job) {
+        return leaderKnowledge
+                .machinesOfCancelled(job)
+                .filter(machines -> !machines.equals(cancelledTasks.machinesOf(job)))
+                .isPresent();
+    }
+
+    private void updateAsLeader(String job) {
+        leaderKnowledge
+                .machinesOfCancelled(job)
+                .ifPresent(
+                        machines -> {
+                            cancelledTasks.set(job, machines, loop.now());
+                            peers.broadcastCancelledTaskMachines(job, machines);
+                        });
+    }
+
+    private void deleteMachinesOf(List<String> jobs) {
+        List<String> machines =
+                jobs.stream()
+                        .flatMap(job -> cancelledTasks.machinesOf(job).stream())
+                        .distinct()
+                        .limit(CloudMessages.MAX_DELETIONS)
+                        .toList();
+        if (machines.isEmpty() || isRequestPending) {
+            return;
+        }
+        LOG.warn("deleting machines {}: cancelled tasks on them, and no leader is heard", machines);
+        isRequestPending = true;
+        Request request =
+                new Request(
+                        cloudAddress,
+                        "POST",
+                        CloudMessages.DELETIONS_PATH,
+                        CloudMessages.encodeDeletion(machines),
+                        timeouts.workerLeaseSeconds() / ATTEMPTS_PER_LEASE);
+        http.send(request, reply -> deletionAnswered(machines, reply));
+    }
+
+    private void deletionAnswered(List<String> machines, Reply reply) {
+        isRequestPending = false;
+        if (reply.ok()) {
+            cancelledTasks
+                    .removeMachines(machines)
+                    .forEach(
+                            job ->
+                                    peers.broadcastCancelledTaskMachines(
+                                            job, cancelledTasks.machinesOf(job)));
+        }
+    }
+}
--- a/src/main/java/org/springmill/control/cluster/Job.java
+++ b/src/main/java/org/springmill/control/cluster/Job.java
@@ -297,6 +297,16 @@
         return inZone < spec.maxTasksPerZone();
     }
 
+    /** The machines of attempts that are not known to have ended, in the order of their names. */
+    public List<String> machinesOfLiveAttempts() {
+        return attemptsByTask.values().stream()
+                .filter(TaskAttempt::mayBeOnMachine)
+                .map(attempt -> attempt.machine().name())
+                .distinct()
+                .sorted()
+                .toList();
+    }
+
     /** How many of its attempts are in a zone. */
     public int attemptsInZone(String zone) {
         int inZone = 0;
--- a/src/main/java/org/springmill/control/cluster/TaskAttempt.java
+++ b/src/main/java/org/springmill/control/cluster/TaskAttempt.java
@@ -105,6 +105,11 @@
         return state;
     }
 
+    /** Whether it may run, or start, on its machine: it is not known to have ended. */
+    public boolean mayBeOnMachine() {
+        return state != State.ENDED && state != State.CLOSED;
+    }
+
     /** Why it ended; {@code NONE} until then. */
     public ExitCause exitCause() {
         return exitCause;
--- a/src/main/java/org/springmill/control/controller/Controller.java
+++ b/src/main/java/org/springmill/control/controller/Controller.java
@@ -10,6 +10,7 @@
 import org.springmill.control.admission.StoreRateShares;
 import org.springmill.control.api.SubmissionHandler;
 import org.springmill.control.api.UserApi;
+import org.springmill.control.cancellation.CancellationEnforcement;
 import org.springmill.control.cluster.MachineTypeCatalog;
 import org.springmill.control.history.HistoryMembership;
 import org.springmill.control.jobs.JobDirectory;
@@ -63,6 +64,7 @@
     private final ActiveJobs activeJobs;
     private final Congestion congestion;
     private final LeaderFactory leaderFactory;
+    private final CancellationEnforcement cancellationEnforcement;
     private final Readiness readiness;
     private final RequestRouter router;
 
@@ -137,6 +139,16 @@
                         congestion,
                         historyMembership);
         leaderFactory = new LeaderFactory(services);
+        cancellationEnforcement =
+                new CancellationEnforcement(
+                        job -> leader.flatMap(current -> current.machinesOfCancelled(job)),
+                        () -> leader.isPresent() && leadership.mayRespondToWorkers(),
+                        store,
+                        peers,
+                        http,
+                        loop,
+                        settings,
+                        timeouts);
         readiness = new Readiness(directory, catalog, peers, store, loop, timeouts);
         router =
                 new RequestRouter(
@@ -207,7 +219,8 @@
     }
 
     private UserApi userApi(AdmissionControl admission, Metrics metrics) {
-        JobStatusResponses responses = new JobStatusResponses(this::progressOf);
+        JobStatusResponses responses =
+                new JobStatusResponses(this::progressOf, cancellationEnforcement.gate());
         SubmissionHandler submissions =
                 new SubmissionHandler(
                         directory,
@@ -250,6 +263,7 @@
         catalog.start();
         directory.start();
         cancellationFreshness.start();
+        cancellationEnforcement.start();
         historyMembership.ifPresent(HistoryMembership::register);
     }
 
--- a/src/main/java/org/springmill/control/controller/Leader.java
+++ b/src/main/java/org/springmill/control/controller/Leader.java
@@ -192,6 +192,20 @@
         return job == null ? null : job.progress();
     }
 
+    /**
+     * The machines on which tasks of a cancelled job may still be, in the order of their names;
+     * empty while this leader may not act, or if it does not know that the job is cancelled.
+     */
+    Optional<List<String>> machinesOfCancelled(String id) {
+        JobRecord record = services.directory().get(id);
+        boolean isKnown = record != null && record.cancelled();
+        if (!isKnown || !lifecycle.isActive() || !services.leadership().mayRespondToWorkers()) {
+            return Optional.empty();
+        }
+        Job job = components.clusterState().job(id);
+        return Optional.of(job == null ? List.of() : job.machinesOfLiveAttempts());
+    }
+
     /** Tasks of eligible jobs that are not done and have no live attempt. */
     int waitingTasks() {
         return components.clusterState().jobs().values().stream()
--- a/src/main/java/org/springmill/control/jobs/JobStatusResponses.java
+++ b/src/main/java/org/springmill/control/jobs/JobStatusResponses.java
@@ -23,26 +23,60 @@
     /** Reason for a 503 while the key-value store does not respond. */
     public static final String STORE_UNAVAILABLE = "the state service does not answer";
 
+    /** Reason for a 503 while no controller is certain to stop the tasks of a cancelled job. */
+    public static final String CANCELLATION_UNCERTAIN =
+            "no controller can stop the tasks of the job now";
+
     private static final int RETRY_AFTER_SECONDS = 1;
 
     private final Function<String, JobProgress> progressLookup;
+    private final CancellationGate cancellationGate;
 
     /**
      * Creates responses that use the progress known to this controller.
      *
      * @param progressLookup returns the progress of an active job by its id; null if not known
+     * @param cancellationGate decides when users are told that a job is cancelled
      */
-    public JobStatusResponses(Function<String, JobProgress> progressLookup) {
+    public JobStatusResponses(
+            Function<String, JobProgress> progressLookup, CancellationGate cancellationGate) {
         this.progressLookup = progressLookup;
+        this.cancellationGate = cancellationGate;
     }
 
-    /** Responds 200 with the phase of a job. */
+    /** Responds 200 with the phase of a job, or 503 if it is cancelled and may not be told yet. */
     public void respondPhase(Call call, JobRecord job) {
-        call.reply(200, UserMessages.encodePhase(job.id(), phaseOf(job)), 0);
+        whenCertain(
+                call,
+                job,
+                () -> call.reply(200, UserMessages.encodePhase(job.id(), phaseOf(job)), 0));
     }
 
-    /** Responds 200 with the phase of a job and the numbers of done and running tasks. */
+    /**
+     * Responds 200 with the phase of a job and the numbers of done and running tasks, or 503 if it
+     * is cancelled and may not be told yet.
+     */
     public void respondProgress(Call call, JobRecord job) {
+        whenCertain(call, job, () -> replyProgress(call, job));
+    }
+
+    private void whenCertain(Call call, JobRecord job, Runnable reply) {
+        if (!job.cancelled()) {
+            reply.run();
+            return;
+        }
+        cancellationGate.await(
+                job,
+                certain -> {
+                    if (certain) {
+                        reply.run();
+                    } else {
+                        respondUnavailable(call, CANCELLATION_UNCERTAIN);
+                    }
+                });
+    }
+
+    private void replyProgress(Call call, JobRecord job) {
         JobProgress known = progressLookup.apply(job.id());
         int done = known == null ? 0 : known.done();
         int running = known == null ? 0 : known.running();
--- a/src/main/java/org/springmill/control/membership/PeerRecordDispatcher.java
+++ b/src/main/java/org/springmill/control/membership/PeerRecordDispatcher.java
@@ -8,6 +8,8 @@
 import org.springmill.protocol.MalformedMessageException;
 import org.springmill.protocol.PeerMessages;
 import org.springmill.protocol.PeerMessages.CancellationNotice;
+import org.springmill.protocol.PeerMessages.CancelledTaskMachines;
+import org.springmill.protocol.PeerMessages.CancelledTaskQuery;
 import org.springmill.protocol.PeerMessages.CongestionNotice;
 import org.springmill.protocol.PeerMessages.PeerRecord;
 import org.springmill.protocol.PeerMessages.PeerStatus;
@@ -22,6 +24,8 @@
     private final Consumer<PeerStatus> onStatus;
     private Consumer<ProgressUpdate> onProgressUpdate = update -> {};
     private Consumer<CongestionNotice> onCongestionNotice = notice -> {};
+    private Consumer<CancelledTaskQuery> onCancelledTaskQuery = query -> {};
+    private Consumer<CancelledTaskMachines> onCancelledTaskMachines = machines -> {};
 
     /**
      * @param nodes all other controllers
@@ -41,6 +45,14 @@
         onCongestionNotice = consumer;
     }
 
+    void onCancelledTaskQuery(Consumer<CancelledTaskQuery> consumer) {
+        onCancelledTaskQuery = consumer;
+    }
+
+    void onCancelledTaskMachines(Consumer<CancelledTaskMachines> consumer) {
+        onCancelledTaskMachines = consumer;
+    }
+
     /** Handles a record; logs and drops a malformed one. */
     void dispatch(byte[] bytes) {
         try {
@@ -63,6 +75,10 @@
             onProgressUpdate.accept(update);
         } else if (message instanceof CongestionNotice notice && fromPeer) {
             onCongestionNotice.accept(notice);
+        } else if (message instanceof CancelledTaskQuery query && fromPeer) {
+            onCancelledTaskQuery.accept(query);
+        } else if (message instanceof CancelledTaskMachines machines && fromPeer) {
+            onCancelledTaskMachines.accept(machines);
         }
     }
 }
--- a/src/main/java/org/springmill/control/membership/Peers.java
+++ b/src/main/java/org/springmill/control/membership/Peers.java
@@ -13,6 +13,8 @@
 import org.springmill.protocol.PeerMessages.Cancellation;
 import org.springmill.protocol.PeerMessages.CancellationDelta;
 import org.springmill.protocol.PeerMessages.CancellationNotice;
+import org.springmill.protocol.PeerMessages.CancelledTaskMachines;
+import org.springmill.protocol.PeerMessages.CancelledTaskQuery;
 import org.springmill.protocol.PeerMessages.CongestionNotice;
 import org.springmill.protocol.PeerMessages.PeerRecord;
 import org.springmill.protocol.PeerMessages.PeerStatus;
@@ -130,6 +132,32 @@
         broadcast(new CancellationNotice(settings.node(), List.of(cancellation)));
     }
 
+    /** Sets the consumer of queries for the machines with tasks of a cancelled job. */
+    public void onCancelledTaskQuery(Consumer<CancelledTaskQuery> consumer) {
+        dispatcher.onCancelledTaskQuery(consumer);
+    }
+
+    /** Sets the consumer of the machines with tasks of a cancelled job. */
+    public void onCancelledTaskMachines(Consumer<CancelledTaskMachines> consumer) {
+        dispatcher.onCancelledTaskMachines(consumer);
+    }
+
+    /** Asks the leader, whichever peer that is, for the machines with tasks of a cancelled job. */
+    public void queryCancelledTasks(String job) {
+        broadcast(new CancelledTaskQuery(settings.node(), job));
+    }
+
+    /** Sends all peers the machines on which tasks of a cancelled job may still be. */
+    public void broadcastCancelledTaskMachines(String job, List<String> machines) {
+        int from = 0;
+        do {
+            int to = Math.min(machines.size(), from + CancelledTaskMachines.MAX_MACHINES);
+            List<String> part = List.copyOf(machines.subList(from, to));
+            broadcast(new CancelledTaskMachines(settings.node(), job, from > 0, part));
+            from = to;
+        } while (from < machines.size());
+    }
+
     /** Sends a record that needs no response to all peers. */
     void broadcast(PeerRecord message) {
         nodes.forEach(node -> send(node, message));
--- a/src/main/java/org/springmill/control/timing/Timeouts.java
+++ b/src/main/java/org/springmill/control/timing/Timeouts.java
@@ -62,6 +62,7 @@
     public static final double DRIFT = 1.002;
 
     private static final double COMMIT_RETRIES_PER_PEER_POLL = 4;
+    private static final double CANCELLATION_QUERIES_PER_PEER_POLL = 2;
 
     /** Longest time between two heartbeats, in heartbeat intervals. */
     private static final double LONGEST_HEARTBEAT_GAP_INTERVALS = 1.25;
@@ -127,6 +128,11 @@
         return peerPollIntervalSeconds / COMMIT_RETRIES_PER_PEER_POLL;
     }
 
+    /** Timeout of a query to the leader while the user of a cancelled job waits for the answer. */
+    public double cancellationQueryTimeoutSeconds() {
+        return peerPollIntervalSeconds / CANCELLATION_QUERIES_PER_PEER_POLL;
+    }
+
     /** Validity of a peer's confirmation as measured on any clock, extended by {@link #DRIFT}. */
     public double peerConfirmationValidityOnAnyClockSeconds() {
         return peerConfirmationValiditySeconds * DRIFT;
--- a/src/main/java/org/springmill/protocol/PeerMessageReader.java
+++ b/src/main/java/org/springmill/protocol/PeerMessageReader.java
@@ -8,6 +8,8 @@
 import org.springmill.protocol.PeerMessages.Cancellation;
 import org.springmill.protocol.PeerMessages.CancellationDelta;
 import org.springmill.protocol.PeerMessages.CancellationNotice;
+import org.springmill.protocol.PeerMessages.CancelledTaskMachines;
+import org.springmill.protocol.PeerMessages.CancelledTaskQuery;
 import org.springmill.protocol.PeerMessages.CongestedQueue;
 import org.springmill.protocol.PeerMessages.CongestionNotice;
 import org.springmill.protocol.PeerMessages.JobProgress;
@@ -53,6 +55,8 @@
             case PeerMessages.CANCELLATIONS -> readCancellationNotice();
             case PeerMessages.PROGRESS -> readProgress();
             case PeerMessages.CONGESTION -> readCongestion();
+            case PeerMessages.CANCELLED_TASK_QUERY -> readCancelledTaskQuery();
+            case PeerMessages.CANCELLED_TASK_MACHINES -> readCancelledTaskMachines();
             default ->
                     throw new MalformedMessageException("peer record has the unknown kind " + kind);
         };
@@ -109,6 +113,19 @@
                 readList(CongestionNotice.MAX_QUEUES, "queues", this::readQueue));
     }
 
+    private CancelledTaskQuery readCancelledTaskQuery() throws IOException {
+        return new CancelledTaskQuery(in.readUTF(), in.readUTF());
+    }
+
+    private CancelledTaskMachines readCancelledTaskMachines()
+            throws IOException, MalformedMessageException {
+        return new CancelledTaskMachines(
+                in.readUTF(),
+                in.readUTF(),
+                in.readBoolean(),
+                readList(CancelledTaskMachines.MAX_MACHINES, "machines", in::readUTF));
+    }
+
     private List<Cancellation> readCancellations() throws IOException, MalformedMessageException {
         return readList(
                 CancellationDelta.MAX_CANCELLATIONS, "cancellations", this::readCancellation);
--- a/src/main/java/org/springmill/protocol/PeerMessageWriter.java
+++ b/src/main/java/org/springmill/protocol/PeerMessageWriter.java
@@ -8,6 +8,8 @@
 import org.springmill.protocol.PeerMessages.Cancellation;
 import org.springmill.protocol.PeerMessages.CancellationDelta;
 import org.springmill.protocol.PeerMessages.CancellationNotice;
+import org.springmill.protocol.PeerMessages.CancelledTaskMachines;
+import org.springmill.protocol.PeerMessages.CancelledTaskQuery;
 import org.springmill.protocol.PeerMessages.CongestedQueue;
 import org.springmill.protocol.PeerMessages.CongestionNotice;
 import org.springmill.protocol.PeerMessages.JobProgress;
@@ -50,6 +52,12 @@
         } else if (message instanceof CongestionNotice notice) {
             out.writeByte(PeerMessages.CONGESTION);
             writeCongestion(notice);
+        } else if (message instanceof CancelledTaskQuery query) {
+            out.writeByte(PeerMessages.CANCELLED_TASK_QUERY);
+            writeCancelledTaskQuery(query);
+        } else if (message instanceof CancelledTaskMachines machines) {
+            out.writeByte(PeerMessages.CANCELLED_TASK_MACHINES);
+            writeCancelledTaskMachines(machines);
         }
     }
 
@@ -101,6 +109,18 @@
         writeList(notice.queues(), CongestionNotice.MAX_QUEUES, this::writeQueue);
     }
 
+    private void writeCancelledTaskQuery(CancelledTaskQuery query) throws IOException {
+        out.writeUTF(query.from());
+        out.writeUTF(query.job());
+    }
+
+    private void writeCancelledTaskMachines(CancelledTaskMachines message) throws IOException {
+        out.writeUTF(message.from());
+        out.writeUTF(message.job());
+        out.writeBoolean(message.continued());
+        writeList(message.machines(), CancelledTaskMachines.MAX_MACHINES, out::writeUTF);
+    }
+
     private void writeCancellations(List<Cancellation> cancellations) throws IOException {
         writeList(cancellations, CancellationDelta.MAX_CANCELLATIONS, this::writeCancellation);
     }
--- a/src/main/java/org/springmill/protocol/PeerMessages.java
+++ b/src/main/java/org/springmill/protocol/PeerMessages.java
@@ -22,6 +22,12 @@
     /** Kind of a {@link CongestionNotice}. */
     static final int CONGESTION = 4;
 
+    /** Kind of a {@link CancelledTaskQuery}. */
+    static final int CANCELLED_TASK_QUERY = 5;
+
+    /** Kind of a {@link CancelledTaskMachines}. */
+    static final int CANCELLED_TASK_MACHINES = 6;
+
     private PeerMessages() {}
 
     /** A record of any kind. */
@@ -148,6 +154,32 @@
     public record CancellationNotice(String from, List<Cancellation> cancellations)
             implements PeerRecord {}
 
+    /**
+     * Asks the leader for the machines on which tasks of a cancelled job may still be. Only a
+     * leader that knows the cancellation answers, to all controllers.
+     *
+     * @param from name of the sender
+     * @param job id of the cancelled job
+     */
+    public record CancelledTaskQuery(String from, String job) implements PeerRecord {}
+
+    /**
+     * The machines on which tasks of a cancelled job may still be, as the leader knows them or as
+     * the sender has read them from the key-value store. More machines than fit into one record are
+     * sent in several.
+     *
+     * @param from name of the sender
+     * @param job id of the cancelled job
+     * @param continued whether the machines join those of the record before it
+     * @param machines at most {@link #MAX_MACHINES}; none if every task of the job has ended
+     */
+    public record CancelledTaskMachines(
+            String from, String job, boolean continued, List<String> machines)
+            implements PeerRecord {
+        /** Maximum number of machines in one record. */
+        public static final int MAX_MACHINES = 1000;
+    }
+
     /**
      * Progress of one job, for display.
      *
--- a/src/test/java/org/springmill/architecture/LayersTest.java
+++ b/src/test/java/org/springmill/architecture/LayersTest.java
@@ -34,7 +34,7 @@
                     Set.of("control.jobs"),
                     Set.of("control.cluster"),
                     Set.of("control.api", "control.membership"),
-                    Set.of("control.leadership", "control.workers"),
+                    Set.of("control.leadership", "control.workers", "control.cancellation"),
                     Set.of("control.scheduling"),
                     Set.of("control.autoscaling", "control.recall"),
                     Set.of("control.controller", "emulator"),
--- a/src/test/java/org/springmill/control/membership/PeersTest.java
+++ b/src/test/java/org/springmill/control/membership/PeersTest.java
@@ -6,6 +6,7 @@
 
 import java.util.ArrayList;
 import java.util.List;
+import java.util.stream.IntStream;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.CsvSource;
@@ -15,6 +16,8 @@
 import org.springmill.control.timing.Timeouts;
 import org.springmill.protocol.PeerMessages;
 import org.springmill.protocol.PeerMessages.CancellationDelta;
+import org.springmill.protocol.PeerMessages.CancelledTaskMachines;
+import org.springmill.protocol.PeerMessages.PeerRecord;
 import org.springmill.protocol.PeerMessages.PeerStatus;
 import org.springmill.protocol.Settings;
 import org.springmill.protocol.SettingsFixtures;
@@ -28,6 +31,9 @@
     private final List<PeerStatus> sent = new ArrayList<>();
     private PeerLink.Listener listener;
 
+    /** The machines of cancelled tasks sent to one peer. */
+    private final List<CancelledTaskMachines> sentMachines = new ArrayList<>();
+
     private Peers peers(boolean leading, long term) throws Exception {
         Settings settings = SettingsFixtures.small();
         PeerLink link =
@@ -35,7 +41,7 @@
                     @Override
                     public void send(String node, byte[] record) {
                         try {
-                            sent.add((PeerStatus) PeerMessages.decode(record));
+                            recordSent(node, PeerMessages.decode(record));
                         } catch (Exception e) {
                             throw new AssertionError(e);
                         }
@@ -117,6 +123,16 @@
                 CancellationDelta.NONE);
     }
 
+    private void recordSent(String node, PeerRecord record) {
+        if (record instanceof PeerStatus status) {
+            sent.add(status);
+        } else if (record instanceof CancelledTaskMachines machines && node.equals("n-1")) {
+            sentMachines.add(machines);
+        } else if (!(record instanceof CancelledTaskMachines)) {
+            throw new AssertionError("unexpected record " + record);
+        }
+    }
+
     private PeerStatus lastSent() {
         return sent.get(sent.size() - 1);
     }
@@ -175,4 +191,20 @@
         receive(responseOfFollower(lastSent().requestNumber(), false, 60_000));
         assertTrue(restarted.quorumConfirmsOutage(7));
     }
+
+    /** Guards against an array whose machines do not fit into one record between controllers. */
+    @Test
+    void machinesOfALargeCancelledJobAreSentInSeveralRecords() throws Exception {
+        List<String> machines =
+                IntStream.range(0, 2 * CancelledTaskMachines.MAX_MACHINES + 1)
+                        .mapToObj(number -> "host-" + number)
+                        .toList();
+        peers(true, 7).broadcastCancelledTaskMachines("run-000001", machines);
+        assertEquals(
+                List.of(false, true, true),
+                sentMachines.stream().map(CancelledTaskMachines::continued).toList());
+        assertEquals(
+                machines,
+                sentMachines.stream().flatMap(record -> record.machines().stream()).toList());
+    }
 }
--- a/src/test/java/org/springmill/control/simulation/ClusterFixture.java
+++ b/src/test/java/org/springmill/control/simulation/ClusterFixture.java
@@ -4,11 +4,14 @@
 import static org.junit.jupiter.api.Assertions.assertNotEquals;
 
 import com.fasterxml.jackson.databind.node.ObjectNode;
+import java.util.HashSet;
 import java.util.List;
+import java.util.Set;
 import org.junit.jupiter.api.AfterEach;
 import org.springmill.sim.SimNetwork.Delivery;
 import org.springmill.sim.SimWorker;
 import org.springmill.sim.SimulatedCluster;
+import org.springmill.transport.HttpClient.Request;
 
 /**
  * Three controllers and four machines in two zones, all simulated, with the shorthands of the tests
@@ -24,6 +27,9 @@
     private static final int MACHINES_PER_ZONE = 2;
     private static final double ELECTION_SECONDS = 6;
 
+    /** Longer than any timeout. */
+    private static final double LOST_SECONDS = 1e6;
+
     SimulatedCluster cluster;
 
     /** Starts controllers and machines, and waits until a leader is elected. */
@@ -71,9 +77,42 @@
         assertEquals(201, cluster.submit(controller, job, FOREVER));
     }
 
+    /** Partitions a zone and one controller from everything else. */
+    final void partitionZone(String zone, int controllerInside) {
+        Set<String> hosts = new HashSet<>();
+        for (SimWorker worker : cluster.cloud().machines().values()) {
+            if (worker.zone().equals(zone)) {
+                hosts.add(worker.name());
+                hosts.add(worker.address());
+            }
+        }
+        hosts.add("n-" + controllerInside);
+        hosts.add("10.0.0." + controllerInside + ":8080");
+        cluster.partitionPeers(controllerInside, true);
+        cluster.network()
+                .setDeliveryRule(
+                        (from, request) ->
+                                crosses(hosts, from, request) ? Delivery.DROP : Delivery.DELIVER);
+        // Watches that were open before get no response either.
+        cluster.network()
+                .delayResponses(
+                        (from, request) -> crosses(hosts, from, request) ? LOST_SECONDS : 0);
+    }
+
+    private static boolean crosses(Set<String> hosts, String from, Request request) {
+        return hosts.contains(from) != hosts.contains(request.address());
+    }
+
+    /** Ends the partition of a zone and of the controller in it. */
+    final void healZone(int controllerInside) {
+        deliverAllMessages();
+        cluster.partitionPeers(controllerInside, false);
+    }
+
     /** From now on the network delivers every message. */
     final void deliverAllMessages() {
         cluster.network().setDeliveryRule((from, request) -> Delivery.DELIVER);
+        cluster.network().delayResponses((from, request) -> 0);
     }
 
     final void assertEachTaskStartedOnce(String job, int tasks) {
--- a/src/test/java/org/springmill/control/simulation/ZonePartitionTest.java
+++ b/src/test/java/org/springmill/control/simulation/ZonePartitionTest.java
@@ -17,26 +17,6 @@
 
 /** A zone, with its machines and one controller, is partitioned from everything else. */
 class ZonePartitionTest extends SingleFailureFixture {
-    /** Partitions a zone and one controller from everything else. */
-    private void partitionZone(String zone, int controllerInside) {
-        Set<String> hosts = new HashSet<>();
-        for (SimWorker worker : cluster.cloud().machines().values()) {
-            if (worker.zone().equals(zone)) {
-                hosts.add(worker.name());
-                hosts.add(worker.address());
-            }
-        }
-        hosts.add("n-" + controllerInside);
-        hosts.add("10.0.0." + controllerInside + ":8080");
-        cluster.partitionPeers(controllerInside, true);
-        cluster.network()
-                .setDeliveryRule(
-                        (from, request) ->
-                                hosts.contains(from) == hosts.contains(request.address())
-                                        ? Delivery.DELIVER
-                                        : Delivery.DROP);
-    }
-
     /**
      * The tasks of a partitioned zone keep running, whether the leader is inside the zone or not,
      * and also when all controllers restart during the partition.
--- a/src/test/java/org/springmill/protocol/PeerMessagesTest.java
+++ b/src/test/java/org/springmill/protocol/PeerMessagesTest.java
@@ -17,6 +17,8 @@
 import org.springmill.protocol.PeerMessages.Cancellation;
 import org.springmill.protocol.PeerMessages.CancellationDelta;
 import org.springmill.protocol.PeerMessages.CancellationNotice;
+import org.springmill.protocol.PeerMessages.CancelledTaskMachines;
+import org.springmill.protocol.PeerMessages.CancelledTaskQuery;
 import org.springmill.protocol.PeerMessages.JobProgress;
 import org.springmill.protocol.PeerMessages.PeerRecord;
 import org.springmill.protocol.PeerMessages.PeerStatus;
@@ -71,6 +73,9 @@
                                 false,
                                 List.of(new Cancellation("run-000001", 41, 1.7e9)))),
                 new CancellationNotice("n-1", List.of(new Cancellation("run-000001", 41, 1.7e9))),
+                new CancelledTaskQuery("n-1", "run-000001"),
+                new CancelledTaskMachines("n-1", "run-000001", false, List.of()),
+                new CancelledTaskMachines("n-1", "run-000001", true, List.of("host-1", "host-2")),
                 new ProgressUpdate("n-1", 5, List.of()),
                 new ProgressUpdate("n-1", 5, List.of(new JobProgress("run-000001", 3, 9))));
     }
