--- a/src/test/java/org/springmill/sim/SimNetwork.java
+++ b/src/test/java/org/springmill/sim/SimNetwork.java
@@ -147,20 +147,39 @@
     }
 
     void send(String from, Request request, Consumer<Reply> done) {
-        boolean[] answered = new boolean[1];
-        Consumer<Reply> completeOnce =
-                reply -> {
-                    if (!answered[0]) {
-                        answered[0] = true;
-                        done.accept(reply);
-                    }
-                };
+        Consumer<Reply> completeOnce = onlyOnce(done);
         Delivery delivery = deliveryOf(from, request);
         if (delivery == Delivery.REFUSE) {
             cluster.clock().after(DELAY_SECONDS, () -> completeOnce.accept(Reply.NOT_SENT));
             return;
         }
         cluster.clock().after(request.timeoutSeconds(), () -> completeOnce.accept(Reply.LOST));
+        duplicateHeartbeat(from, request);
+        double delaySeconds = DELAY_SECONDS + requestDelays.delaySeconds(from, request);
+        switch (delivery) {
+            case HOLD -> held.add(new HeldRequest(from, request));
+            case LOSE_RESPONSE -> deliver(delaySeconds, from, request, reply -> {});
+            case DELIVER ->
+                    deliver(
+                            delaySeconds,
+                            from,
+                            request,
+                            reply -> respond(from, request, reply, completeOnce));
+            default -> {}
+        }
+    }
+
+    private static Consumer<Reply> onlyOnce(Consumer<Reply> done) {
+        boolean[] answered = new boolean[1];
+        return reply -> {
+            if (!answered[0]) {
+                answered[0] = true;
+                done.accept(reply);
+            }
+        };
+    }
+
+    private void duplicateHeartbeat(String from, Request request) {
         if (request.path().equals("/v1/report")
                 && duplicatedHeartbeatShare > 0
                 && random.nextDouble() < duplicatedHeartbeatShare) {
@@ -169,33 +188,14 @@
                             2 + random.nextDouble() * (3 * SimSettings.LEASE_SECONDS - 2),
                             () -> cluster.route(from, request, reply -> {}));
         }
-        double delaySeconds = DELAY_SECONDS + requestDelays.delaySeconds(from, request);
-        switch (delivery) {
-            case DROP -> {}
-            case HOLD -> held.add(new HeldRequest(from, request));
-            case LOSE_RESPONSE ->
-                    cluster.clock()
-                            .after(delaySeconds, () -> cluster.route(from, request, reply -> {}));
-            default ->
-                    cluster.clock()
-                            .after(
-                                    delaySeconds,
-                                    () ->
-                                            cluster.route(
-                                                    from,
-                                                    request,
-                                                    reply ->
-                                                            cluster.clock()
-                                                                    .after(
-                                                                            DELAY_SECONDS
-                                                                                    + responseDelays
-                                                                                            .delaySeconds(
-                                                                                                    from,
-                                                                                                    request),
-                                                                            () ->
-                                                                                    completeOnce
-                                                                                            .accept(
-                                                                                                    reply))));
-        }
+    }
+
+    private void deliver(double delaySeconds, String from, Request request, Consumer<Reply> done) {
+        cluster.clock().after(delaySeconds, () -> cluster.route(from, request, done));
+    }
+
+    private void respond(String from, Request request, Reply reply, Consumer<Reply> done) {
+        double delaySeconds = DELAY_SECONDS + responseDelays.delaySeconds(from, request);
+        cluster.clock().after(delaySeconds, () -> done.accept(reply));
     }
 }
