--- /dev/null
+++ b/src/test/java/org/springmill/control/simulation/PartitionedZoneDaysTest.java
@@ -0,0 +1,203 @@
+package org.springmill.control.simulation;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.SplittableRandom;
+import java.util.stream.LongStream;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.MethodSource;
+import org.springmill.sim.SimulatedCluster;
+import org.springmill.transport.HttpClient.Request;
+
+/**
+ * Days drawn from a seed: a zone is partitioned, with or without the leader, the key-value store is
+ * out, one controller crashes, jobs are cancelled, and copies of committed transactions arrive. A
+ * longer run by hand: {@code mvn test -Dtest=PartitionedZoneDaysTest -Dspringmill.days=1000
+ * -Dspringmill.firstSeed=5000}.
+ */
+class PartitionedZoneDaysTest extends ClusterFixture {
+    private static final int DAYS_IN_CI = 40;
+    private static final long FIRST_SEED_IN_CI = 1;
+    private static final int STEPS = 24;
+    private static final int COPIES_PER_STEP = 20;
+    private static final double MAX_STEP_SECONDS = 14;
+
+    /** The longest outage in the operators' pages. */
+    private static final double MAX_OUTAGE_SECONDS = 60;
+
+    /** Two outages with a shorter pause would be one that is longer than any in the pages. */
+    private static final double MIN_SECONDS_BETWEEN_OUTAGES = 30;
+
+    private static final int SHORT_JOBS_PER_STEP = 8;
+    private static final double RECOVERY_SECONDS = 120;
+    private static final int NONE = -1;
+
+    private final List<String> liveJobs = new ArrayList<>();
+    private SplittableRandom random;
+    private int submitted;
+    private int inZone = NONE;
+    private int outages;
+    private boolean isOutage;
+    private double outageEndedAt = Double.NEGATIVE_INFINITY;
+
+    /** Only one controller crashes in an outage: what all know is lost if all of them do. */
+    private boolean mayCrash = true;
+
+    /** What happens at the beginning of a step. */
+    private enum Event {
+        PARTITION_ZONE,
+        HEAL_ZONE,
+        BEGIN_OUTAGE,
+        END_OUTAGE,
+        CRASH,
+        SUBMIT,
+        CANCEL,
+        CANCEL_IN_THE_LEADERS_ZONE,
+        SHORT_JOBS,
+        REPEAT_TRANSACTIONS
+    }
+
+    private static final List<Event> EVENTS = List.of(Event.values());
+
+    static LongStream seeds() {
+        long first = Long.getLong("springmill.firstSeed", FIRST_SEED_IN_CI);
+        return LongStream.range(first, first + Integer.getInteger("springmill.days", DAYS_IN_CI));
+    }
+
+    /** Guards against ran_cancelled in a partitioned zone, and ran_twice by a repeated round. */
+    @ParameterizedTest
+    @MethodSource("seeds")
+    void noInvariantIsBrokenWhateverMeets(long seed) {
+        random = new SplittableRandom(seed);
+        startCluster(seed);
+        cluster.startPolling();
+        submit();
+        submit();
+        cluster.run(MAX_STEP_SECONDS);
+        for (int step = 0; step < STEPS; step++) {
+            apply(EVENTS.get(random.nextInt(EVENTS.size())));
+            boolean isShort = random.nextBoolean();
+            cluster.run(random.nextDouble() * (isShort ? 1 : MAX_STEP_SECONDS));
+        }
+        healZone();
+        endOutage();
+        cluster.endFailures().run(RECOVERY_SECONDS);
+    }
+
+    private void apply(Event event) {
+        switch (event) {
+            case PARTITION_ZONE -> partitionZone();
+            case HEAL_ZONE -> healZone();
+            case BEGIN_OUTAGE -> beginOutage();
+            case END_OUTAGE -> endOutage();
+            case CRASH -> crash();
+            case SUBMIT -> submit();
+            case CANCEL -> cancel();
+            case CANCEL_IN_THE_LEADERS_ZONE -> cancelInTheLeadersZone();
+            case SHORT_JOBS -> runShortJobs();
+            case REPEAT_TRANSACTIONS -> repeatTransactions();
+        }
+    }
+
+    private void partitionZone() {
+        if (inZone == NONE) {
+            boolean leaderInside = random.nextBoolean() && cluster.leader() != NONE;
+            inZone = leaderInside ? cluster.leader() : random.nextInt(CONTROLLERS);
+            partitionZone("b", inZone);
+        }
+    }
+
+    /** A job is cancelled between the partition of the leader's zone and the next election. */
+    private void cancelInTheLeadersZone() {
+        if (inZone == NONE && mayBeginOutage() && cluster.leader() != NONE) {
+            inZone = cluster.leader();
+            partitionZone("b", inZone);
+            cluster.run(random.nextDouble());
+            cancel();
+            cluster.run(random.nextDouble());
+            beginOutage();
+            cluster.run(MAX_OUTAGE_SECONDS);
+        }
+    }
+
+    private void runShortJobs() {
+        for (int job = 0; job < SHORT_JOBS_PER_STEP && !isOutage; job++) {
+            String id = String.format("run-%06d", ++submitted);
+            cluster.submit(reachable(), SimulatedCluster.job(id, "red", "sweep", 1, 1, 0), 0.5);
+            cluster.run(1);
+        }
+    }
+
+    private void healZone() {
+        if (inZone != NONE) {
+            healZone(inZone);
+            inZone = NONE;
+        }
+    }
+
+    private void beginOutage() {
+        if (mayBeginOutage()) {
+            isOutage = true;
+            cluster.keyValueStore().setDown(true);
+            int begun = ++outages;
+            cluster.clock().after(MAX_OUTAGE_SECONDS, () -> endOutage(begun));
+        }
+    }
+
+    private boolean mayBeginOutage() {
+        return !isOutage && cluster.clock().now() - outageEndedAt >= MIN_SECONDS_BETWEEN_OUTAGES;
+    }
+
+    private void endOutage(int begun) {
+        if (begun == outages) {
+            endOutage();
+        }
+    }
+
+    private void endOutage() {
+        if (isOutage) {
+            outageEndedAt = cluster.clock().now();
+        }
+        isOutage = false;
+        mayCrash = true;
+        cluster.keyValueStore().setDown(false);
+    }
+
+    private void crash() {
+        if (mayCrash) {
+            mayCrash = !isOutage;
+            cluster.restart(random.nextInt(CONTROLLERS));
+        }
+    }
+
+    /** A controller that users reach. */
+    private int reachable() {
+        int controller = random.nextInt(CONTROLLERS);
+        return controller == inZone ? (controller + 1) % CONTROLLERS : controller;
+    }
+
+    private void submit() {
+        String id = String.format("run-%06d", ++submitted);
+        int replicas = 1 + random.nextInt(4);
+        if (cluster.submit(
+                        reachable(),
+                        SimulatedCluster.job(id, "blue", "service", replicas, 1, 3),
+                        FOREVER)
+                == 201) {
+            liveJobs.add(id);
+        }
+    }
+
+    private void cancel() {
+        if (!liveJobs.isEmpty()) {
+            cluster.cancel(reachable(), liveJobs.remove(random.nextInt(liveJobs.size())));
+        }
+    }
+
+    private void repeatTransactions() {
+        List<Request> committed = cluster.keyValueStore().committedTransactions();
+        for (int copy = 0; copy < COPIES_PER_STEP && !isOutage; copy++) {
+            cluster.keyValueStore().commitAgain(committed.get(random.nextInt(committed.size())));
+        }
+    }
+}
