--- a/src/main/java/org/springmill/control/cancellation/CancellationAssurance.java
+++ b/src/main/java/org/springmill/control/cancellation/CancellationAssurance.java
@@ -22,9 +22,9 @@
  * Lets users be told that a job is cancelled once the machines of its tasks are known here: from
  * the leader, which stops the tasks, or, if no leader answers, from the claims in the key-value
  * store. Otherwise the only controller that knows them may be a leader in a partitioned zone, which
- * does not learn of the cancellation. docs/design.md, claim 8.4c, has the argument.
+ * does not learn of the cancellation. docs/design.md, claim 8.7, has the argument.
  */
-public final class CancellationAssurance implements CancellationGate {
+final class CancellationAssurance implements CancellationGate {
     private static final Logger LOG = LoggerFactory.getLogger(CancellationAssurance.class);
 
     /**
--- a/src/main/java/org/springmill/control/storage/RoundWriter.java
+++ b/src/main/java/org/springmill/control/storage/RoundWriter.java
@@ -92,7 +92,6 @@
         private final Runnable onLeadershipLost;
         private final RoundEncoder encoder;
         private final List<StoredRound> replaced;
-
         private final List<Condition> conditions = new ArrayList<>();
         private final List<Write> writes = new ArrayList<>();
 
--- a/src/test/java/org/springmill/control/simulation/PartitionedZoneDaysTest.java
+++ b/src/test/java/org/springmill/control/simulation/PartitionedZoneDaysTest.java
@@ -3,7 +3,6 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.SplittableRandom;
-import java.util.stream.LongStream;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.MethodSource;
 import org.springmill.sim.SimulatedCluster;
@@ -16,8 +15,6 @@
  * -Dspringmill.firstSeed=5000}.
  */
 class PartitionedZoneDaysTest extends ClusterFixture {
-    private static final int DAYS_IN_CI = 40;
-    private static final long FIRST_SEED_IN_CI = 1;
     private static final int STEPS = 24;
     private static final int COPIES_PER_STEP = 20;
     private static final double MAX_STEP_SECONDS = 14;
@@ -59,14 +56,9 @@
 
     private static final List<Event> EVENTS = List.of(Event.values());
 
-    static LongStream seeds() {
-        long first = Long.getLong("springmill.firstSeed", FIRST_SEED_IN_CI);
-        return LongStream.range(first, first + Integer.getInteger("springmill.days", DAYS_IN_CI));
-    }
-
     /** Guards against ran_cancelled in a partitioned zone, and ran_twice by a repeated round. */
     @ParameterizedTest
-    @MethodSource("seeds")
+    @MethodSource("org.springmill.control.simulation.DaySeeds#seeds")
     void noInvariantIsBrokenWhateverMeets(long seed) {
         random = new SplittableRandom(seed);
         startCluster(seed);
--- a/src/test/java/org/springmill/control/simulation/UnheardWorkerDaysTest.java
+++ b/src/test/java/org/springmill/control/simulation/UnheardWorkerDaysTest.java
@@ -6,7 +6,6 @@
 import java.util.List;
 import java.util.Optional;
 import java.util.SplittableRandom;
-import java.util.stream.LongStream;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.MethodSource;
 import org.springmill.sim.SimWorker;
@@ -19,8 +18,6 @@
  * -Dspringmill.days=1000 -Dspringmill.firstSeed=5000}.
  */
 class UnheardWorkerDaysTest {
-    private static final int DAYS_IN_CI = 40;
-    private static final long FIRST_SEED_IN_CI = 1;
     private static final int STEPS = 30;
     private static final int CONTROLLERS = 3;
     private static final int GPUS_PER_MACHINE = 8;
@@ -46,13 +43,8 @@
 
     private static final List<Event> EVENTS = List.of(Event.values());
 
-    static LongStream seeds() {
-        long first = Long.getLong("springmill.firstSeed", FIRST_SEED_IN_CI);
-        return LongStream.range(first, first + Integer.getInteger("springmill.days", DAYS_IN_CI));
-    }
-
     @ParameterizedTest
-    @MethodSource("seeds")
+    @MethodSource("org.springmill.control.simulation.DaySeeds#seeds")
     void noTaskRunsTwice(long seed) {
         Day day = new Day(seed);
         day.play();
--- a/src/test/java/org/springmill/control/simulation/ZonePartitionTest.java
+++ b/src/test/java/org/springmill/control/simulation/ZonePartitionTest.java
@@ -48,8 +48,7 @@
         cluster.keyValueStore().setDown(false);
         cluster.run(45);
         assertEquals(4, cluster.running(JOB));
-        deliverAllMessages();
-        cluster.partitionPeers(controllerInside, false);
+        healZone(controllerInside);
         cluster.run(30);
         assertEquals(4, cluster.running(JOB));
         assertEquals(before, cluster.cloud().machines().size(), "no machine was returned");
@@ -116,8 +115,7 @@
             cluster.run(4);
             partitionZone("b", controllerInside);
             cluster.run(26);
-            deliverAllMessages();
-            cluster.partitionPeers(controllerInside, false);
+            healZone(controllerInside);
             cluster.run(10);
             assertEquals(
                     201,
@@ -156,8 +154,7 @@
         cluster.run(restartAfterSeconds);
         cluster.restart(first);
         cluster.run(partitionSeconds - restartAfterSeconds);
-        deliverAllMessages();
-        cluster.partitionPeers(controllerInside, false);
+        healZone(controllerInside);
         cluster.run(20);
         assertEquals(0, cluster.running(JOB));
         assertEquals(4, cluster.running(OTHER));
