--- a/review/standins-2/src/Kit.java
+++ b/review/standins-2/src/Kit.java
@@ -18,6 +18,7 @@
 import java.util.Locale;
 import java.util.concurrent.ExecutorService;
 import java.util.concurrent.Executors;
+import java.util.concurrent.ThreadLocalRandom;
 
 /** What the stand-ins share: JSON, HTTP on loopback, and the record of a case. */
 final class Kit {
@@ -132,9 +133,16 @@
         call.close();
     }
 
-    static int freePort() throws IOException {
-        try (ServerSocket socket = new ServerSocket(0, 1, InetAddress.getByName("127.0.0.1"))) {
-            return socket.getLocalPort();
+    /** A free port below those that the system gives out by itself, which stand-ins may get. */
+    static int freePort() {
+        while (true) {
+            int port = ThreadLocalRandom.current().nextInt(12_000, 32_000);
+            try (ServerSocket socket =
+                    new ServerSocket(port, 1, InetAddress.getByName("127.0.0.1"))) {
+                return socket.getLocalPort();
+            } catch (IOException e) {
+                // In use: another one.
+            }
         }
     }
 
