--- a/review/standins-2/src/Store.java
+++ b/review/standins-2/src/Store.java
@@ -9,6 +9,7 @@
 import java.util.Map;
 import java.util.Set;
 import java.util.TreeMap;
+import java.util.function.BooleanSupplier;
 
 /** The state service of PROTOCOL-springmill.md. Each controller reaches it on an address of its own. */
 final class Store {
@@ -178,7 +179,7 @@
     }
 
     /** Serves one request of a node. */
-    void handle(String node, HttpExchange call) throws Exception {
+    void handle(String node, HttpExchange call, BooleanSupplier cut) throws Exception {
         String method = call.getRequestMethod();
         String path = call.getRequestURI().getPath();
         String query = call.getRequestURI().getRawQuery();
@@ -189,6 +190,9 @@
         } catch (RuntimeException e) {
             answer = new Kit.Answer(400, error("malformed: " + e));
         }
+        while (cut.getAsBoolean()) {
+            Kit.sleep(0.05);
+        }
         Kit.reply(call, answer);
     }
 
--- a/review/standins-2/src/Worker.java
+++ b/review/standins-2/src/Worker.java
@@ -272,7 +272,7 @@
             lastSent = sentAt;
             next = sentAt + site.reportS() * (0.75 + 0.5 * random.nextDouble());
             int bytes = Kit.bytes(json).length;
-            Kit.Answer answer = Kit.send("POST", site.api(to), "/v1/report", json, 4);
+            Kit.Answer answer = send(json, to);
             while (hung) {
                 Kit.sleep(0.01);
             }
@@ -299,6 +299,14 @@
         }
     }
 
+    private Kit.Answer send(ObjectNode json, int to) {
+        if (site.isCut(yard, to)) {
+            Kit.sleep(4);
+            return new Kit.Answer(-1, null);
+        }
+        return Kit.send("POST", site.api(to), "/v1/report", json, 4);
+    }
+
     private void accept(JsonNode json, double sentAt, long sentShift) {
         if (json == null
                 || !json.path("baton").isIntegralNumber()
