The cloud's client and the reading of its machine list in one place below the autoscaler

Cause: only the leader's autoscaler could read the cloud's list, page by page; what needs no leadership could not use it. Change: CloudClient moves to control.cluster, and the paging of MachineListing becomes MachineListReader there. Behaviour is as it was.

--- a/src/main/java/org/springmill/control/autoscaling/Autoscaler.java
+++ b/src/main/java/org/springmill/control/autoscaling/Autoscaler.java
@@ -1,5 +1,6 @@
 package org.springmill.control.autoscaling;
 
+import org.springmill.control.cluster.CloudClient;
 import org.springmill.control.cluster.Fleet;
 import org.springmill.control.cluster.Machine;
 import org.springmill.control.membership.Peers;
--- a/src/main/java/org/springmill/control/autoscaling/MachineDeletion.java
+++ b/src/main/java/org/springmill/control/autoscaling/MachineDeletion.java
@@ -4,6 +4,7 @@
 import java.util.List;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
+import org.springmill.control.cluster.CloudClient;
 import org.springmill.control.cluster.Fleet;
 import org.springmill.control.cluster.Machine;
 import org.springmill.control.cluster.TaskAttempt;
--- a/src/main/java/org/springmill/control/autoscaling/MachineListing.java
+++ b/src/main/java/org/springmill/control/autoscaling/MachineListing.java
@@ -1,33 +1,27 @@
 package org.springmill.control.autoscaling;
 
-import java.util.ArrayList;
 import java.util.List;
 import java.util.Optional;
-import org.slf4j.Logger;
-import org.slf4j.LoggerFactory;
+import org.springmill.control.cluster.CloudClient;
 import org.springmill.control.cluster.Fleet;
 import org.springmill.control.cluster.Machine;
-import org.springmill.protocol.CloudMessages;
+import org.springmill.control.cluster.MachineListReader;
 import org.springmill.protocol.CloudMessages.ListedMachine;
-import org.springmill.protocol.CloudMessages.MachinePage;
 import org.springmill.protocol.CloudMessages.MachinePhase;
-import org.springmill.protocol.MalformedMessageException;
 import org.springmill.protocol.Settings;
 import org.springmill.transport.EventLoop;
-import org.springmill.transport.HttpClient.Reply;
 
 /**
- * Reads the cloud's list of machines at regular intervals, page by page, and updates the fleet with
- * each complete list.
+ * Reads the cloud's list of machines at regular intervals and updates the fleet with each complete
+ * list.
  */
 final class MachineListing {
-    private static final Logger LOG = LoggerFactory.getLogger(MachineListing.class);
-
     /** The protocol allows a list to lag by up to twice the configured lag. */
     private static final double MAX_LAG_FACTOR = 2;
 
     private final Fleet fleet;
     private final CloudClient cloud;
+    private final MachineListReader reader;
     private final MachineDeletion deletion;
     private final EventLoop loop;
     private final Settings settings;
@@ -46,6 +40,7 @@
             Runnable changed) {
         this.fleet = fleet;
         this.cloud = cloud;
+        reader = new MachineListReader(cloud);
         this.deletion = deletion;
         this.loop = loop;
         this.settings = settings;
@@ -54,7 +49,7 @@
 
     /** Starts reading a list; further lists are scheduled automatically. */
     void start() {
-        requestPage(null, new ArrayList<>());
+        reader.read(this::listRead);
     }
 
     /** Whether a complete list was read in this term. */
@@ -72,48 +67,11 @@
         return MAX_LAG_FACTOR * settings.cloudLimits().listLagSeconds();
     }
 
-    /**
-     * @param after the last machine that was read; null for the first page
-     * @param found the machines of the previous pages
-     */
-    private void requestPage(String after, List<ListedMachine> found) {
-        if (!cloud.isClosed()) {
-            cloud.get(CloudMessages.listPath(after), reply -> pageReceived(found, reply));
-        }
-    }
-
-    private void pageReceived(List<ListedMachine> found, Reply reply) {
-        Optional<MachinePage> parsed = parse(reply);
-        if (parsed.isEmpty()) {
-            scheduleNext();
-            return;
-        }
-        MachinePage page = parsed.get();
-        found.addAll(page.machines());
-        if (page.more() && !page.machines().isEmpty()) {
-            String last = page.machines().get(page.machines().size() - 1).name();
-            requestPage(last, found);
-            return;
-        }
-        listCompleted(found);
+    private void listRead(Optional<List<ListedMachine>> list) {
+        list.ifPresent(this::listCompleted);
         scheduleNext();
     }
 
-    /** Returns empty if the reply is an error or malformed. */
-    private static Optional<MachinePage> parse(Reply reply) {
-        if (!reply.ok()) {
-            return Optional.empty();
-        }
-        try {
-            return Optional.of(CloudMessages.decodeMachinePage(reply.body()));
-        } catch (MalformedMessageException e) {
-            LOG.warn(
-                    "ignoring the cloud's machine list, reading it again: malformed page: {}",
-                    e.getMessage());
-            return Optional.empty();
-        }
-    }
-
     private void scheduleNext() {
         loop.after(cloud.retryIntervalSeconds(), this::start);
     }
--- a/src/main/java/org/springmill/control/autoscaling/ScaleOutRequests.java
+++ b/src/main/java/org/springmill/control/autoscaling/ScaleOutRequests.java
@@ -7,6 +7,7 @@
 import java.util.Map;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
+import org.springmill.control.cluster.CloudClient;
 import org.springmill.control.cluster.Fleet;
 import org.springmill.control.cluster.Machine;
 import org.springmill.control.cluster.MachineKind;
--- a/src/main/java/org/springmill/control/autoscaling/CloudClient.java
+++ b/src/main/java/org/springmill/control/cluster/CloudClient.java
@@ -1,4 +1,4 @@
-package org.springmill.control.autoscaling;
+package org.springmill.control.cluster;
 
 import java.util.function.Consumer;
 import org.springmill.control.storage.TokenBucket;
@@ -10,10 +10,10 @@
 import org.springmill.transport.HttpClient.Request;
 
 /**
- * Sends one leader's requests to the cloud within the cloud's rate limit. It is closed at the end
- * of the leader's term; callers check {@link #isClosed} before they schedule further requests.
+ * Sends requests to the cloud within the cloud's rate limit. That of a leader is closed at the end
+ * of its term; callers check {@link #isClosed} before they schedule further requests.
  */
-final class CloudClient {
+public final class CloudClient {
     private static final byte[] NO_BODY = new byte[0];
 
     /** The request timeout is set so that three consecutive attempts fit into one worker lease. */
@@ -31,7 +31,8 @@
     private final TokenBucket rateLimit;
     private boolean closed;
 
-    CloudClient(HttpClient http, EventLoop loop, Settings settings, Timeouts timeouts) {
+    /** Creates a client with a full rate limit of its own. */
+    public CloudClient(HttpClient http, EventLoop loop, Settings settings, Timeouts timeouts) {
         this.http = http;
         this.loop = loop;
         this.settings = settings;
@@ -42,38 +43,39 @@
     /**
      * Marks the end of the leader's term: callers schedule no more requests and ignore responses.
      */
-    void close() {
+    public void close() {
         closed = true;
     }
 
-    boolean isClosed() {
+    /** Whether {@link #close} has been called. */
+    public boolean isClosed() {
         return closed;
     }
 
     /** Seconds before a periodic or failed request is sent again. */
-    double retryIntervalSeconds() {
+    public double retryIntervalSeconds() {
         return Math.max(
                 timeouts.heartbeatIntervalSeconds() / 2,
                 REQUESTS_PER_REPEAT / settings.cloudLimits().requestsPerSecond());
     }
 
     /** Seconds until the rate limit allows this many requests. */
-    double secondsUntil(int requests) {
+    public double secondsUntil(int requests) {
         return rateLimit.waitSeconds(requests, loop.now());
     }
 
     /** Sends a GET request as soon as the rate limit allows it. */
-    void get(String path, Consumer<Reply> done) {
+    public void get(String path, Consumer<Reply> done) {
         send(request("GET", path, NO_BODY), done);
     }
 
     /** Builds a POST request that can be sent more than once. */
-    Request post(String path, byte[] body) {
+    public Request post(String path, byte[] body) {
         return request("POST", path, body);
     }
 
     /** Sends a request as soon as the rate limit allows it. */
-    void send(Request request, Consumer<Reply> done) {
+    public void send(Request request, Consumer<Reply> done) {
         double waitSeconds = secondsUntil(1);
         rateLimit.take(1, loop.now());
         if (waitSeconds > 0) {
