A zone that is cut off is fenced if nobody outside can know what was cancelled in it

The zone is cut off with the leader, the key-value store is out, and all controllers, or all outside, crash.

Cause: a promise rested on the memory of processes that nothing kept alive.

Change: a process knows whether it has caught up on cancellations from before its start: by age, as a leader that has recovered the state, or from a peer that has caught up and names what is pending (peers' records of kinds 7 and 8).

Evidence: with the tests of this commit on the sources before it, all 8 cases of PartitionedZoneCancellationTest.cancelledTasksEndIfAllWhoRememberThemCrashInTheOutage fail:

4 of them crash only the controllers outside; with one survivor nothing breaks. After: all pass, and so do the cases that any two of a cut, an outage and a crash of all cost no machine.

--- a/src/main/java/org/springmill/control/cancellation/CancellationEnforcement.java
+++ b/src/main/java/org/springmill/control/cancellation/CancellationEnforcement.java
@@ -1,6 +1,7 @@
 package org.springmill.control.cancellation;
 
 import java.util.function.BooleanSupplier;
+import org.springmill.control.cluster.CloudClient;
 import org.springmill.control.jobs.CancellationGate;
 import org.springmill.control.membership.Peers;
 import org.springmill.control.storage.KeyValueStoreClient;
@@ -18,6 +19,8 @@
     private final Peers peers;
     private final CancellationAssurance assurance;
     private final CancelledTaskDeletion deletion;
+    private final CancellationCatchUp catchUp;
+    private final PartitionedZoneFencing fencing;
 
     /**
      * Creates the enforcement of one controller, which sends nothing before {@link #start}.
@@ -57,13 +60,32 @@
                         timeouts,
                         settings.cloudAddress(),
                         deadline * REMEMBER_DEADLINES);
+        catchUp =
+                new CancellationCatchUp(
+                        cancelledTasks, leaderKnowledge, peers, loop, timeouts, deadline);
+        fencing =
+                new PartitionedZoneFencing(
+                        catchUp,
+                        store,
+                        peers,
+                        new CloudClient(http, loop, settings, timeouts),
+                        loop,
+                        timeouts);
     }
 
     /** Starts answering the other controllers and checking for overdue tasks. */
     public void start() {
         peers.onCancelledTaskQuery(assurance::queryReceived);
         peers.onCancelledTaskMachines(assurance::machinesReceived);
+        peers.onCatchUpRequest(catchUp::requestReceived);
+        peers.onCatchUpResponse(catchUp::responseReceived);
         deletion.run();
+        fencing.run();
+    }
+
+    /** Records that a worker sent a heartbeat to this controller. */
+    public void heartbeatReceived(String machine) {
+        fencing.heartbeatReceived(machine);
     }
 
     /** Decides when users may be told that a job is cancelled. */
--- a/src/main/java/org/springmill/control/cancellation/CancelledTasks.java
+++ b/src/main/java/org/springmill/control/cancellation/CancelledTasks.java
@@ -7,6 +7,7 @@
 import java.util.Map;
 import java.util.Set;
 import java.util.TreeSet;
+import org.springmill.protocol.PeerMessages.PendingCancellation;
 
 /** The machines on which tasks of cancelled jobs may still be, as far as this controller knows. */
 final class CancelledTasks {
@@ -15,7 +16,7 @@
     /** The machines of one job; none are left once all of its tasks have ended. */
     private static final class Entry {
         private final Set<String> machines = new TreeSet<>();
-        private final double knownSince;
+        private double knownSince;
 
         Entry(double knownSince) {
             this.knownSince = knownSince;
@@ -39,6 +40,24 @@
         entriesByJob.computeIfAbsent(job, id -> new Entry(now)).machines.addAll(machines);
     }
 
+    /** Records that a job that is known here was cancelled at a time or before. */
+    void cancelledBy(String job, double time) {
+        Entry entry = entriesByJob.get(job);
+        entry.knownSince = Math.min(entry.knownSince, time);
+    }
+
+    /** The cancelled jobs of which tasks may still be on machines. */
+    List<PendingCancellation> pending(double now) {
+        List<PendingCancellation> pending = new ArrayList<>();
+        entriesByJob.forEach(
+                (job, entry) -> {
+                    if (!entry.machines.isEmpty()) {
+                        pending.add(new PendingCancellation(job, now - entry.knownSince));
+                    }
+                });
+        return pending;
+    }
+
     /** The machines of a job, in the order of their names. */
     List<String> machinesOf(String job) {
         Entry entry = entriesByJob.get(job);
--- a/src/main/java/org/springmill/control/controller/Controller.java
+++ b/src/main/java/org/springmill/control/controller/Controller.java
@@ -1,5 +1,6 @@
 package org.springmill.control.controller;
 
+import java.util.List;
 import java.util.Optional;
 import java.util.SplittableRandom;
 import org.slf4j.Logger;
@@ -11,6 +12,7 @@
 import org.springmill.control.api.SubmissionHandler;
 import org.springmill.control.api.UserApi;
 import org.springmill.control.cancellation.CancellationEnforcement;
+import org.springmill.control.cancellation.LeaderKnowledge;
 import org.springmill.control.cluster.MachineTypeCatalog;
 import org.springmill.control.history.HistoryMembership;
 import org.springmill.control.jobs.JobDirectory;
@@ -29,6 +31,7 @@
 import org.springmill.protocol.PeerMessages.CancellationDelta;
 import org.springmill.protocol.PeerMessages.JobProgress;
 import org.springmill.protocol.PeerMessages.PeerStatus;
+import org.springmill.protocol.PeerMessages.PendingCancellation;
 import org.springmill.protocol.Settings;
 import org.springmill.transport.EventLoop;
 import org.springmill.transport.HttpClient;
@@ -141,7 +144,7 @@
         leaderFactory = new LeaderFactory(services);
         cancellationEnforcement =
                 new CancellationEnforcement(
-                        job -> leader.flatMap(current -> current.machinesOfCancelled(job)),
+                        new KnowledgeOfTerm(),
                         () -> leader.isPresent() && leadership.mayRespondToWorkers(),
                         store,
                         peers,
@@ -215,7 +218,8 @@
                 cancellationFreshness,
                 leaseKeepalive,
                 redirectedWorkers,
-                () -> leader);
+                () -> leader,
+                cancellationEnforcement::heartbeatReceived);
     }
 
     private UserApi userApi(AdmissionControl admission, Metrics metrics) {
@@ -314,6 +318,19 @@
         return leader.isPresent() ? leader.get().progress(jobId) : remoteProgress.of(jobId);
     }
 
+    /** What this controller knows of tasks during a term of leadership. */
+    private final class KnowledgeOfTerm implements LeaderKnowledge {
+        @Override
+        public Optional<List<String>> machinesOfCancelled(String job) {
+            return leader.flatMap(current -> current.machinesOfCancelled(job));
+        }
+
+        @Override
+        public Optional<List<PendingCancellation>> pendingCancellations() {
+            return leader.flatMap(Leader::pendingCancellations);
+        }
+    }
+
     /**
      * Creates a leader for each term that this controller wins, and closes it at the term's end.
      */
--- a/src/main/java/org/springmill/control/controller/HeartbeatEndpoint.java
+++ b/src/main/java/org/springmill/control/controller/HeartbeatEndpoint.java
@@ -1,6 +1,7 @@
 package org.springmill.control.controller;
 
 import java.util.Optional;
+import java.util.function.Consumer;
 import java.util.function.Supplier;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
@@ -32,10 +33,12 @@
     private final LeaseKeepalive leaseKeepalive;
     private final RedirectedWorkers redirectedWorkers;
     private final Supplier<Optional<Leader>> leader;
+    private final Consumer<String> onHeartbeat;
 
     /**
      * @param node the name of this controller
      * @param leader the leader component of this controller; empty while it does not lead
+     * @param onHeartbeat gets the machine of each heartbeat
      */
     HeartbeatEndpoint(
             String node,
@@ -44,7 +47,8 @@
             CancellationFreshness cancellationFreshness,
             LeaseKeepalive leaseKeepalive,
             RedirectedWorkers redirectedWorkers,
-            Supplier<Optional<Leader>> leader) {
+            Supplier<Optional<Leader>> leader,
+            Consumer<String> onHeartbeat) {
         this.node = node;
         this.leadership = leadership;
         this.directory = directory;
@@ -52,6 +56,7 @@
         this.leaseKeepalive = leaseKeepalive;
         this.redirectedWorkers = redirectedWorkers;
         this.leader = leader;
+        this.onHeartbeat = onHeartbeat;
     }
 
     /** Answers one heartbeat request. */
@@ -67,6 +72,7 @@
             call.reply(400, UserMessages.encodeError(e.getMessage()), 0);
             return;
         }
+        onHeartbeat.accept(heartbeat.machine());
         respond(call, heartbeat);
     }
 
--- a/src/main/java/org/springmill/control/controller/Leader.java
+++ b/src/main/java/org/springmill/control/controller/Leader.java
@@ -13,6 +13,7 @@
 import org.springmill.control.storage.JobRecord;
 import org.springmill.control.storage.RoundLog;
 import org.springmill.protocol.PeerMessages.JobProgress;
+import org.springmill.protocol.PeerMessages.PendingCancellation;
 import org.springmill.protocol.WorkerMessages.Heartbeat;
 import org.springmill.transport.HttpHandler.Call;
 
@@ -199,13 +200,40 @@
     Optional<List<String>> machinesOfCancelled(String id) {
         JobRecord record = services.directory().get(id);
         boolean isKnown = record != null && record.cancelled();
-        if (!isKnown || !lifecycle.isActive() || !services.leadership().mayRespondToWorkers()) {
+        if (!isKnown || !knowsAllTasks()) {
             return Optional.empty();
         }
         Job job = components.clusterState().job(id);
         return Optional.of(job == null ? List.of() : job.machinesOfLiveAttempts());
     }
 
+    /**
+     * All cancelled jobs of which tasks may still be on machines; empty while this leader may not
+     * act or has not recovered what earlier leaders committed.
+     */
+    Optional<List<PendingCancellation>> pendingCancellations() {
+        if (!knowsAllTasks()) {
+            return Optional.empty();
+        }
+        return Optional.of(
+                components.clusterState().jobs().values().stream()
+                        .filter(job -> !job.machinesOfLiveAttempts().isEmpty())
+                        .map(job -> services.directory().get(job.id()))
+                        .filter(record -> record != null && record.cancelled())
+                        .map(this::pendingCancellation)
+                        .toList());
+    }
+
+    private PendingCancellation pendingCancellation(JobRecord cancelled) {
+        double ageSeconds = services.loop().timeOfDay() - cancelled.endedAt();
+        double maxClockErrorSeconds = 2 * services.settings().skewSeconds();
+        return new PendingCancellation(cancelled.id(), ageSeconds + maxClockErrorSeconds);
+    }
+
+    private boolean knowsAllTasks() {
+        return lifecycle.isActive() && services.leadership().mayRespondToWorkers();
+    }
+
     /** Tasks of eligible jobs that are not done and have no live attempt. */
     int waitingTasks() {
         return components.clusterState().jobs().values().stream()
--- a/src/main/java/org/springmill/control/membership/PeerRecordDispatcher.java
+++ b/src/main/java/org/springmill/control/membership/PeerRecordDispatcher.java
@@ -10,6 +10,8 @@
 import org.springmill.protocol.PeerMessages.CancellationNotice;
 import org.springmill.protocol.PeerMessages.CancelledTaskMachines;
 import org.springmill.protocol.PeerMessages.CancelledTaskQuery;
+import org.springmill.protocol.PeerMessages.CatchUpRequest;
+import org.springmill.protocol.PeerMessages.CatchUpResponse;
 import org.springmill.protocol.PeerMessages.CongestionNotice;
 import org.springmill.protocol.PeerMessages.PeerRecord;
 import org.springmill.protocol.PeerMessages.PeerStatus;
@@ -26,6 +28,8 @@
     private Consumer<CongestionNotice> onCongestionNotice = notice -> {};
     private Consumer<CancelledTaskQuery> onCancelledTaskQuery = query -> {};
     private Consumer<CancelledTaskMachines> onCancelledTaskMachines = machines -> {};
+    private Consumer<CatchUpRequest> onCatchUpRequest = request -> {};
+    private Consumer<CatchUpResponse> onCatchUpResponse = response -> {};
 
     /**
      * @param nodes all other controllers
@@ -53,6 +57,14 @@
         onCancelledTaskMachines = consumer;
     }
 
+    void onCatchUpRequest(Consumer<CatchUpRequest> consumer) {
+        onCatchUpRequest = consumer;
+    }
+
+    void onCatchUpResponse(Consumer<CatchUpResponse> consumer) {
+        onCatchUpResponse = consumer;
+    }
+
     /** Handles a record; logs and drops a malformed one. */
     void dispatch(byte[] bytes) {
         try {
@@ -79,6 +91,10 @@
             onCancelledTaskQuery.accept(query);
         } else if (message instanceof CancelledTaskMachines machines && fromPeer) {
             onCancelledTaskMachines.accept(machines);
+        } else if (message instanceof CatchUpRequest request && fromPeer) {
+            onCatchUpRequest.accept(request);
+        } else if (message instanceof CatchUpResponse response && fromPeer) {
+            onCatchUpResponse.accept(response);
         }
     }
 }
--- a/src/main/java/org/springmill/control/membership/Peers.java
+++ b/src/main/java/org/springmill/control/membership/Peers.java
@@ -3,6 +3,7 @@
 import java.util.List;
 import java.util.OptionalDouble;
 import java.util.Set;
+import java.util.function.BiFunction;
 import java.util.function.Consumer;
 import java.util.function.Supplier;
 import org.springmill.control.admission.StoreRateShares;
@@ -15,9 +16,12 @@
 import org.springmill.protocol.PeerMessages.CancellationNotice;
 import org.springmill.protocol.PeerMessages.CancelledTaskMachines;
 import org.springmill.protocol.PeerMessages.CancelledTaskQuery;
+import org.springmill.protocol.PeerMessages.CatchUpRequest;
+import org.springmill.protocol.PeerMessages.CatchUpResponse;
 import org.springmill.protocol.PeerMessages.CongestionNotice;
 import org.springmill.protocol.PeerMessages.PeerRecord;
 import org.springmill.protocol.PeerMessages.PeerStatus;
+import org.springmill.protocol.PeerMessages.PendingCancellation;
 import org.springmill.protocol.PeerMessages.ProgressUpdate;
 import org.springmill.protocol.Settings;
 import org.springmill.transport.EventLoop;
@@ -149,11 +153,46 @@
 
     /** Sends all peers the machines on which tasks of a cancelled job may still be. */
     public void broadcastCancelledTaskMachines(String job, List<String> machines) {
+        broadcastInParts(
+                machines,
+                CancelledTaskMachines.MAX_MACHINES,
+                (continued, part) ->
+                        new CancelledTaskMachines(settings.node(), job, continued, part));
+    }
+
+    /** Sets the consumer of requests of controllers that may have missed cancellations. */
+    public void onCatchUpRequest(Consumer<CatchUpRequest> consumer) {
+        dispatcher.onCatchUpRequest(consumer);
+    }
+
+    /** Sets the consumer of the answers to such requests of this controller. */
+    public void onCatchUpResponse(Consumer<CatchUpResponse> consumer) {
+        dispatcher.onCatchUpResponse(consumer);
+    }
+
+    /** Asks all peers which cancellations are pending, and says which machines are heard here. */
+    public void requestCatchUp(List<String> heardMachines) {
+        broadcastInParts(
+                heardMachines,
+                CatchUpRequest.MAX_MACHINES,
+                (continued, part) -> new CatchUpRequest(settings.node(), continued, part));
+    }
+
+    /** Tells a peer all cancellations that are pending. */
+    public void respondToCatchUp(String node, List<PendingCancellation> pending) {
+        send(node, new CatchUpResponse(settings.node(), pending));
+    }
+
+    /** Sends a list of machines in as many records as it needs, and an empty one in one record. */
+    private void broadcastInParts(
+            List<String> machines,
+            int maxMachines,
+            BiFunction<Boolean, List<String>, PeerRecord> recordOf) {
         int from = 0;
         do {
-            int to = Math.min(machines.size(), from + CancelledTaskMachines.MAX_MACHINES);
+            int to = Math.min(machines.size(), from + maxMachines);
             List<String> part = List.copyOf(machines.subList(from, to));
-            broadcast(new CancelledTaskMachines(settings.node(), job, from > 0, part));
+            broadcast(recordOf.apply(from > 0, part));
             from = to;
         } while (from < machines.size());
     }
@@ -295,6 +334,19 @@
         return cancellations.cancellationsKnownUntil();
     }
 
+    /** The names of all other controllers. */
+    public Set<String> nodes() {
+        return nodes;
+    }
+
+    /** When a peer last responded to this controller; negative infinity if it never did. */
+    public double lastResponseAt(String node) {
+        return confirmations
+                .latest(node)
+                .map(Response::receivedAt)
+                .orElse(Double.NEGATIVE_INFINITY);
+    }
+
     /** When a status was last received from any other controller. */
     public double lastReceivedAt() {
         return evidence.lastReceivedAt();
--- a/src/main/java/org/springmill/control/timing/Timeouts.java
+++ b/src/main/java/org/springmill/control/timing/Timeouts.java
@@ -123,6 +123,14 @@
         return workerLeaseSeconds / 4;
     }
 
+    /**
+     * Timeout of heartbeats and peers after the start of a process: a worker without an answer has
+     * tried every controller by then.
+     */
+    public double discoveryTimeoutSeconds() {
+        return workerLeaseSeconds / 2;
+    }
+
     /** Interval between two attempts to commit a change while its user waits for the answer. */
     public double commitRetryIntervalSeconds() {
         return peerPollIntervalSeconds / COMMIT_RETRIES_PER_PEER_POLL;
--- a/src/main/java/org/springmill/protocol/PeerMessageReader.java
+++ b/src/main/java/org/springmill/protocol/PeerMessageReader.java
@@ -10,11 +10,14 @@
 import org.springmill.protocol.PeerMessages.CancellationNotice;
 import org.springmill.protocol.PeerMessages.CancelledTaskMachines;
 import org.springmill.protocol.PeerMessages.CancelledTaskQuery;
+import org.springmill.protocol.PeerMessages.CatchUpRequest;
+import org.springmill.protocol.PeerMessages.CatchUpResponse;
 import org.springmill.protocol.PeerMessages.CongestedQueue;
 import org.springmill.protocol.PeerMessages.CongestionNotice;
 import org.springmill.protocol.PeerMessages.JobProgress;
 import org.springmill.protocol.PeerMessages.PeerRecord;
 import org.springmill.protocol.PeerMessages.PeerStatus;
+import org.springmill.protocol.PeerMessages.PendingCancellation;
 import org.springmill.protocol.PeerMessages.ProgressUpdate;
 
 /** Reads records between controllers; {@link PeerMessageWriter} writes the same fields in order. */
@@ -57,6 +60,8 @@
             case PeerMessages.CONGESTION -> readCongestion();
             case PeerMessages.CANCELLED_TASK_QUERY -> readCancelledTaskQuery();
             case PeerMessages.CANCELLED_TASK_MACHINES -> readCancelledTaskMachines();
+            case PeerMessages.CATCH_UP_REQUEST -> readCatchUpRequest();
+            case PeerMessages.CATCH_UP_RESPONSE -> readCatchUpResponse();
             default ->
                     throw new MalformedMessageException("peer record has the unknown kind " + kind);
         };
@@ -126,6 +131,23 @@
                 readList(CancelledTaskMachines.MAX_MACHINES, "machines", in::readUTF));
     }
 
+    private CatchUpRequest readCatchUpRequest() throws IOException, MalformedMessageException {
+        return new CatchUpRequest(
+                in.readUTF(),
+                in.readBoolean(),
+                readList(CatchUpRequest.MAX_MACHINES, "machines", in::readUTF));
+    }
+
+    private CatchUpResponse readCatchUpResponse() throws IOException, MalformedMessageException {
+        return new CatchUpResponse(
+                in.readUTF(),
+                readList(CatchUpResponse.MAX_PENDING, "cancelled jobs", this::readPending));
+    }
+
+    private PendingCancellation readPending() throws IOException {
+        return new PendingCancellation(in.readUTF(), in.readDouble());
+    }
+
     private List<Cancellation> readCancellations() throws IOException, MalformedMessageException {
         return readList(
                 CancellationDelta.MAX_CANCELLATIONS, "cancellations", this::readCancellation);
--- a/src/main/java/org/springmill/protocol/PeerMessageWriter.java
+++ b/src/main/java/org/springmill/protocol/PeerMessageWriter.java
@@ -10,11 +10,14 @@
 import org.springmill.protocol.PeerMessages.CancellationNotice;
 import org.springmill.protocol.PeerMessages.CancelledTaskMachines;
 import org.springmill.protocol.PeerMessages.CancelledTaskQuery;
+import org.springmill.protocol.PeerMessages.CatchUpRequest;
+import org.springmill.protocol.PeerMessages.CatchUpResponse;
 import org.springmill.protocol.PeerMessages.CongestedQueue;
 import org.springmill.protocol.PeerMessages.CongestionNotice;
 import org.springmill.protocol.PeerMessages.JobProgress;
 import org.springmill.protocol.PeerMessages.PeerRecord;
 import org.springmill.protocol.PeerMessages.PeerStatus;
+import org.springmill.protocol.PeerMessages.PendingCancellation;
 import org.springmill.protocol.PeerMessages.ProgressUpdate;
 
 /** Writes records between controllers; {@link PeerMessageReader} reads the same fields in order. */
@@ -58,6 +61,12 @@
         } else if (message instanceof CancelledTaskMachines machines) {
             out.writeByte(PeerMessages.CANCELLED_TASK_MACHINES);
             writeCancelledTaskMachines(machines);
+        } else if (message instanceof CatchUpRequest request) {
+            out.writeByte(PeerMessages.CATCH_UP_REQUEST);
+            writeCatchUpRequest(request);
+        } else if (message instanceof CatchUpResponse response) {
+            out.writeByte(PeerMessages.CATCH_UP_RESPONSE);
+            writeCatchUpResponse(response);
         }
     }
 
@@ -121,6 +130,22 @@
         writeList(message.machines(), CancelledTaskMachines.MAX_MACHINES, out::writeUTF);
     }
 
+    private void writeCatchUpRequest(CatchUpRequest message) throws IOException {
+        out.writeUTF(message.from());
+        out.writeBoolean(message.continued());
+        writeList(message.heardMachines(), CatchUpRequest.MAX_MACHINES, out::writeUTF);
+    }
+
+    private void writeCatchUpResponse(CatchUpResponse message) throws IOException {
+        out.writeUTF(message.from());
+        writeList(message.pending(), CatchUpResponse.MAX_PENDING, this::writePending);
+    }
+
+    private void writePending(PendingCancellation pending) throws IOException {
+        out.writeUTF(pending.job());
+        out.writeDouble(pending.ageSeconds());
+    }
+
     private void writeCancellations(List<Cancellation> cancellations) throws IOException {
         writeList(cancellations, CancellationDelta.MAX_CANCELLATIONS, this::writeCancellation);
     }
--- a/src/main/java/org/springmill/protocol/PeerMessages.java
+++ b/src/main/java/org/springmill/protocol/PeerMessages.java
@@ -28,6 +28,12 @@
     /** Kind of a {@link CancelledTaskMachines}. */
     static final int CANCELLED_TASK_MACHINES = 6;
 
+    /** Kind of a {@link CatchUpRequest}. */
+    static final int CATCH_UP_REQUEST = 7;
+
+    /** Kind of a {@link CatchUpResponse}. */
+    static final int CATCH_UP_RESPONSE = 8;
+
     private PeerMessages() {}
 
     /** A record of any kind. */
@@ -180,6 +186,42 @@
         public static final int MAX_MACHINES = 1000;
     }
 
+    /**
+     * States that the sender may have missed cancellations from before its start, and asks which
+     * are still pending. More machines than fit into one record are sent in several.
+     *
+     * @param from name of the sender
+     * @param continued whether the machines join those of the record before it
+     * @param heardMachines machines whose workers the sender has heard recently, at most {@link
+     *     #MAX_MACHINES}; sent only while it does not reach the key-value store
+     */
+    public record CatchUpRequest(String from, boolean continued, List<String> heardMachines)
+            implements PeerRecord {
+        /** Maximum number of machines in one record. */
+        public static final int MAX_MACHINES = 1000;
+    }
+
+    /**
+     * A cancelled job of which tasks may still be on machines.
+     *
+     * @param job id of the job
+     * @param ageSeconds time since its cancellation, at least
+     */
+    public record PendingCancellation(String job, double ageSeconds) {}
+
+    /**
+     * The answer to a {@link CatchUpRequest} of a controller that has missed no cancellation.
+     *
+     * @param from name of the sender
+     * @param pending all cancelled jobs of which tasks may still be on machines, at most {@link
+     *     #MAX_PENDING}
+     */
+    public record CatchUpResponse(String from, List<PendingCancellation> pending)
+            implements PeerRecord {
+        /** Maximum number of jobs in one record. */
+        public static final int MAX_PENDING = 1000;
+    }
+
     /**
      * Progress of one job, for display.
      *
--- a/src/test/java/org/springmill/control/simulation/PartitionedZoneCancellationTest.java
+++ b/src/test/java/org/springmill/control/simulation/PartitionedZoneCancellationTest.java
@@ -182,4 +182,142 @@
         endFailuresAndExpectRecovery();
         assertEachTaskStartedOnce(OTHER, REPLICAS);
     }
+
+    /**
+     * Guards against ran_cancelled: all controllers that remember the cancellation crash in the
+     * outage, together or one after the other.
+     *
+     * @param insideToo whether the controller in the zone crashes too
+     * @param secondsBetween from the crash of one controller to that of the next
+     * @param downSeconds from a crash to the restart
+     */
+    @ParameterizedTest
+    @CsvSource({
+        "false, 0, 0.2",
+        "false, 0, 8",
+        "true, 0, 0.2",
+        "true, 0, 6",
+        "true, 0, 8",
+        "false, 4, 0.2",
+        "false, 4, 8",
+        "true, 3, 8",
+    })
+    void cancelledTasksEndIfAllWhoRememberThemCrashInTheOutage(
+            boolean insideToo, double secondsBetween, double downSeconds) {
+        partition(true);
+        cluster.run(CANCELLATION_AFTER_PARTITION_SECONDS);
+        assertEquals("cancelled", cluster.cancel(confirmer, JOB));
+        cluster.keyValueStore().setDown(true);
+        cluster.run(2);
+        crash(confirmer, 0, downSeconds);
+        crash(third, secondsBetween, downSeconds);
+        if (insideToo) {
+            crash(inZone, 2 * secondsBetween, downSeconds);
+        }
+        cluster.run(OUTAGE_SECONDS);
+        endFailuresAndExpectRecovery();
+    }
+
+    /**
+     * Guards against ran_cancelled: the controllers that remember the cancellation crash before the
+     * outage, so that a leader may have been elected but not have recovered the state.
+     *
+     * @param secondsUntilOutage from the restart
+     */
+    @ParameterizedTest
+    @CsvSource({"0.1", "0.5", "1", "2", "4"})
+    void cancelledTasksEndIfTheOutageBeginsAfterTheCrash(double secondsUntilOutage) {
+        partition(true);
+        cluster.run(CANCELLATION_AFTER_PARTITION_SECONDS);
+        assertEquals("cancelled", cluster.cancel(confirmer, JOB));
+        cluster.kill(confirmer);
+        cluster.kill(third);
+        cluster.run(6);
+        cluster.restart(confirmer);
+        cluster.restart(third);
+        cluster.run(secondsUntilOutage);
+        cluster.keyValueStore().setDown(true);
+        cluster.run(OUTAGE_SECONDS - secondsUntilOutage);
+        endFailuresAndExpectRecovery();
+    }
+
+    private void crash(int controller, double inSeconds, double downSeconds) {
+        cluster.clock().after(inSeconds, () -> cluster.kill(controller));
+        cluster.clock().after(inSeconds + downSeconds, () -> cluster.restart(controller));
+    }
+
+    /**
+     * Any two of a partitioned zone, an outage and a crash of all controllers cost no machine, nor
+     * do all three if the partition ends before the crash.
+     */
+    @ParameterizedTest
+    @CsvSource({
+        "true, true, false",
+        "true, false, true",
+        "false, true, true",
+        "true, false, false",
+        "false, true, false",
+        "false, false, true"
+    })
+    void twoOfTheThreeFailuresCostNoMachine(boolean isPartition, boolean isOutage, boolean crash) {
+        List<SimWorker> before = machines();
+        if (isPartition) {
+            partition(true);
+        }
+        inZone = leader;
+        cluster.run(1);
+        cluster.keyValueStore().setDown(isOutage);
+        cluster.run(2);
+        for (int controller = 0; crash && controller < CONTROLLERS; controller++) {
+            crash(controller, 0, controller == 0 ? 25 : 6);
+        }
+        cluster.run(40);
+        assertEquals(before, machines());
+        cluster.keyValueStore().setDown(false);
+        healZone(inZone);
+        cluster.endFailures().run(60);
+        assertEquals(2 * REPLICAS, cluster.running(JOB) + cluster.running(OTHER));
+    }
+
+    /**
+     * A controller that has lost its peers and the key-value store, and crashes, deletes nothing.
+     */
+    @ParameterizedTest
+    @CsvSource({"true", "false"})
+    void aSingleIsolatedControllerDeletesNothing(boolean isOutage) {
+        List<SimWorker> before = machines();
+        int isolated = (leader + 1) % CONTROLLERS;
+        cluster.isolate(isolated);
+        cluster.keyValueStore().setDown(isOutage);
+        cluster.restart(isolated);
+        cluster.run(40);
+        assertEquals(before, machines());
+        inZone = isolated;
+        cluster.keyValueStore().setDown(false);
+        cluster.endFailures().run(60);
+        assertEquals(2 * REPLICAS, cluster.running(JOB) + cluster.running(OTHER));
+    }
+
+    /** One controller that survives outside remembers: only what was cancelled is deleted. */
+    @Test
+    void aControllerThatRemembersSparesTheOtherMachinesOfTheZone() {
+        cluster.machines("large", "b", 1).run(2);
+        submitService(0, "run-000003", "blue", 1, 8);
+        cluster.run(4);
+        List<SimWorker> before = machines();
+        partition(true);
+        cluster.run(CANCELLATION_AFTER_PARTITION_SECONDS);
+        assertEquals("cancelled", cluster.cancel(confirmer, JOB));
+        List<SimWorker> withTasks =
+                before.stream().filter(machine -> runsAnyTaskOf(machine, JOB)).toList();
+        cluster.keyValueStore().setDown(true);
+        cluster.run(2);
+        crash(third, 0, 6);
+        cluster.run(40);
+        for (SimWorker machine : before) {
+            boolean mayBeDeleted = withTasks.contains(machine);
+            assertTrue(mayBeDeleted || machines().contains(machine), machine.name());
+        }
+        endFailuresAndExpectRecovery();
+    }
 }
--- a/src/test/java/org/springmill/control/simulation/PartitionedZoneDaysTest.java
+++ b/src/test/java/org/springmill/control/simulation/PartitionedZoneDaysTest.java
@@ -10,9 +10,9 @@
 
 /**
  * Days drawn from a seed: a zone is partitioned, with or without the leader, the key-value store is
- * out, one controller crashes, jobs are cancelled, and copies of committed transactions arrive. A
- * longer run by hand: {@code mvn test -Dtest=PartitionedZoneDaysTest -Dspringmill.days=1000
- * -Dspringmill.firstSeed=5000}.
+ * out, one controller, all outside the zone, or all crash, jobs are cancelled, and copies of
+ * committed transactions arrive. A longer run by hand: {@code mvn test
+ * -Dtest=PartitionedZoneDaysTest -Dspringmill.days=1000 -Dspringmill.firstSeed=5000}.
  */
 class PartitionedZoneDaysTest extends ClusterFixture {
     private static final int STEPS = 24;
@@ -25,6 +25,11 @@
     /** Two outages with a shorter pause would be one that is longer than any in the pages. */
     private static final double MIN_SECONDS_BETWEEN_OUTAGES = 30;
 
+    /** How long controllers are down after a crash: at once, or about as long as on the pages. */
+    private static final double SHORT_DOWN_SECONDS = 0.3;
+
+    private static final double LONG_DOWN_SECONDS = 7;
+
     private static final int SHORT_JOBS_PER_STEP = 8;
     private static final double RECOVERY_SECONDS = 120;
     private static final int NONE = -1;
@@ -37,9 +42,6 @@
     private boolean isOutage;
     private double outageEndedAt = Double.NEGATIVE_INFINITY;
 
-    /** Only one controller crashes in an outage: what all know is lost if all of them do. */
-    private boolean mayCrash = true;
-
     /** What happens at the beginning of a step. */
     private enum Event {
         PARTITION_ZONE,
@@ -47,6 +49,8 @@
         BEGIN_OUTAGE,
         END_OUTAGE,
         CRASH,
+        CRASH_OUTSIDE,
+        CRASH_ALL,
         SUBMIT,
         CANCEL,
         CANCEL_IN_THE_LEADERS_ZONE,
@@ -82,7 +86,9 @@
             case HEAL_ZONE -> healZone();
             case BEGIN_OUTAGE -> beginOutage();
             case END_OUTAGE -> endOutage();
-            case CRASH -> crash();
+            case CRASH -> crash(random.nextInt(CONTROLLERS), drawDownSeconds());
+            case CRASH_OUTSIDE -> crashAllBut(inZone);
+            case CRASH_ALL -> crashAllBut(NONE);
             case SUBMIT -> submit();
             case CANCEL -> cancel();
             case CANCEL_IN_THE_LEADERS_ZONE -> cancelInTheLeadersZone();
@@ -151,14 +157,32 @@
             outageEndedAt = cluster.clock().now();
         }
         isOutage = false;
-        mayCrash = true;
         cluster.keyValueStore().setDown(false);
     }
 
-    private void crash() {
-        if (mayCrash) {
-            mayCrash = !isOutage;
-            cluster.restart(random.nextInt(CONTROLLERS));
+    private double drawDownSeconds() {
+        return random.nextBoolean() ? SHORT_DOWN_SECONDS : LONG_DOWN_SECONDS;
+    }
+
+    /** All controllers but one crash, and are back together or one after the other. */
+    private void crashAllBut(int spared) {
+        double downSeconds = drawDownSeconds();
+        boolean together = random.nextBoolean();
+        for (int controller = 0; controller < CONTROLLERS; controller++) {
+            if (controller != spared) {
+                crash(controller, together ? downSeconds : drawDownSeconds());
+            }
+        }
+    }
+
+    private void crash(int controller, double downSeconds) {
+        cluster.kill(controller);
+        cluster.clock().after(downSeconds, () -> startAgain(controller));
+    }
+
+    private void startAgain(int controller) {
+        if (!cluster.isUp(controller)) {
+            cluster.restart(controller);
         }
     }
 
--- a/src/test/java/org/springmill/protocol/PeerMessagesTest.java
+++ b/src/test/java/org/springmill/protocol/PeerMessagesTest.java
@@ -19,9 +19,12 @@
 import org.springmill.protocol.PeerMessages.CancellationNotice;
 import org.springmill.protocol.PeerMessages.CancelledTaskMachines;
 import org.springmill.protocol.PeerMessages.CancelledTaskQuery;
+import org.springmill.protocol.PeerMessages.CatchUpRequest;
+import org.springmill.protocol.PeerMessages.CatchUpResponse;
 import org.springmill.protocol.PeerMessages.JobProgress;
 import org.springmill.protocol.PeerMessages.PeerRecord;
 import org.springmill.protocol.PeerMessages.PeerStatus;
+import org.springmill.protocol.PeerMessages.PendingCancellation;
 import org.springmill.protocol.PeerMessages.ProgressUpdate;
 
 class PeerMessagesTest {
@@ -76,6 +79,10 @@
                 new CancelledTaskQuery("n-1", "run-000001"),
                 new CancelledTaskMachines("n-1", "run-000001", false, List.of()),
                 new CancelledTaskMachines("n-1", "run-000001", true, List.of("host-1", "host-2")),
+                new CatchUpRequest("n-1", false, List.of()),
+                new CatchUpRequest("n-1", true, List.of("host-1", "host-2")),
+                new CatchUpResponse("n-1", List.of()),
+                new CatchUpResponse("n-1", List.of(new PendingCancellation("run-000001", 12.5))),
                 new ProgressUpdate("n-1", 5, List.of()),
                 new ProgressUpdate("n-1", 5, List.of(new JobProgress("run-000001", 3, 9))));
     }
