The bytes of a heartbeat are a resource of a machine: none gets more tasks than it can report

Cause: a limit of the protocol that docs/limits.md knew and no code kept. A heartbeat lists all tasks and may have 64 KiB. Placement bounded a machine's tasks by CPUs, GPUs and memory alone; at 1,576 tasks the heartbeat had 86,119 bytes, every controller answered 400, and the lease ended with all tasks, again and again.

Change: Resources has the bytes of a heartbeat beside CPUs, GPUs and memory, so that placement, scale-out plans, reservations, preemption, recalls, headroom and draining see the same bound (design.md, claim 7.8). A task counts in its longest form from before its claim until a heartbeat no longer lists it. Commands to a worker are bounded to one message; the rest follows with the next. The simulated network and cloud and the emulated worker and cloud keep the protocol's limits on messages. An expected value in DemandPackingTest names the bytes that tasks now take as well.

--- a/src/main/java/org/springmill/control/autoscaling/Bin.java
+++ b/src/main/java/org/springmill/control/autoscaling/Bin.java
@@ -5,6 +5,7 @@
 import org.springmill.control.cluster.MachineKind;
 import org.springmill.control.cluster.ZoneCounts;
 import org.springmill.protocol.CloudMessages.MachineType;
+import org.springmill.protocol.HeartbeatSize;
 import org.springmill.protocol.Resources;
 import org.springmill.protocol.Submission;
 
@@ -25,25 +26,16 @@
     /** Null for a planned machine. */
     private final Machine machine;
 
-    private double freeCpus;
-    private double freeGpus;
-    private double freeMemoryGb;
+    private Resources free;
     private boolean used;
 
     /** Resources packed here for tasks that are expected to arrive. */
     private Resources expected = Resources.NONE;
 
-    private Bin(
-            MachineKind kind,
-            Machine machine,
-            double freeCpus,
-            double freeGpus,
-            double freeMemoryGb) {
+    private Bin(MachineKind kind, Machine machine, Resources free) {
         this.kind = kind;
         this.machine = machine;
-        this.freeCpus = freeCpus;
-        this.freeGpus = freeGpus;
-        this.freeMemoryGb = freeMemoryGb;
+        this.free = free;
     }
 
     /** Creates a bin with the free resources of a machine of known type. */
@@ -51,20 +43,17 @@
         return new Bin(
                 new MachineKind(machine.type(), machine.zone(), machine.spot()),
                 machine,
-                machine.freeCpus(),
-                machine.freeGpus(),
-                machine.free().memoryGb());
+                machine.free());
     }
 
     /** Creates the bin of an empty machine that would have to be requested. */
     static Bin planned(MachineKind kind) {
-        MachineType type = kind.type();
-        return new Bin(kind, null, type.cpus(), type.gpus(), type.memoryGb());
+        return new Bin(kind, null, kind.type().capacity());
     }
 
     /** Returns a copy with the same free resources; packing into it does not change this bin. */
     Bin copy() {
-        Bin copy = new Bin(kind, machine, freeCpus, freeGpus, freeMemoryGb);
+        Bin copy = new Bin(kind, machine, free);
         copy.used = used;
         return copy;
     }
@@ -109,8 +98,8 @@
     /** The free share of the machine's scarcest resource. */
     double freeShare() {
         MachineType type = kind.type();
-        double share = Math.min(freeCpus / type.cpus(), freeMemoryGb / type.memoryGb());
-        return type.gpus() == 0 ? share : Math.min(share, freeGpus / type.gpus());
+        double share = Math.min(free.cpus() / type.cpus(), free.memoryGb() / type.memoryGb());
+        return type.gpus() == 0 ? share : Math.min(share, free.gpus() / type.gpus());
     }
 
     /** Hourly cost of the free share of the machine. */
@@ -123,10 +112,13 @@
         if (!isAllowedFor(spec)) {
             return 0;
         }
-        double byCpus = capacityFor(freeCpus, spec.cpus(), spec.tasks());
-        double byGpus = capacityFor(freeGpus, spec.gpus(), spec.tasks());
-        double byMemory = capacityFor(freeMemoryGb, spec.memoryGb(), spec.tasks());
-        return (int) Math.min(spec.tasks(), Math.min(byCpus, Math.min(byGpus, byMemory)));
+        double byCpus = capacityFor(free.cpus(), spec.cpus(), spec.tasks());
+        double byGpus = capacityFor(free.gpus(), spec.gpus(), spec.tasks());
+        double byMemory = capacityFor(free.memoryGb(), spec.memoryGb(), spec.tasks());
+        double byHeartbeat =
+                capacityFor(free.heartbeatBytes(), HeartbeatSize.maxBytes(spec), spec.tasks());
+        double tasks = Math.min(Math.min(byCpus, byGpus), Math.min(byMemory, byHeartbeat));
+        return (int) Math.max(0, Math.min(spec.tasks(), tasks));
     }
 
     private static double capacityFor(double free, double each, int tasks) {
@@ -144,9 +136,7 @@
         if (!isAllowedFor(spec) || !fits(spec) || !zoneIsOpen) {
             return false;
         }
-        freeCpus -= spec.cpus();
-        freeGpus -= spec.gpus();
-        freeMemoryGb -= spec.memoryGb();
+        free = free.minus(Resources.of(spec));
         used = true;
         tasksPerZone.add(kind.zone());
         return true;
@@ -164,6 +154,6 @@
     }
 
     private boolean fits(Submission spec) {
-        return new Resources(freeCpus, freeGpus, freeMemoryGb).canFit(spec);
+        return free.canFit(spec);
     }
 }
--- a/src/main/java/org/springmill/control/borrowing/VictimSelection.java
+++ b/src/main/java/org/springmill/control/borrowing/VictimSelection.java
@@ -71,8 +71,8 @@
         Resources frees = candidate.frees();
         return (frees.cpus() > 0 && need.cpus() > freed.cpus() + Resources.ROUNDING)
                 || (frees.gpus() > 0 && need.gpus() > freed.gpus() + Resources.ROUNDING)
-                || (frees.memoryGb() > 0
-                        && need.memoryGb() > freed.memoryGb() + Resources.ROUNDING);
+                || (frees.memoryGb() > 0 && need.memoryGb() > freed.memoryGb() + Resources.ROUNDING)
+                || need.heartbeatBytes() > freed.heartbeatBytes();
     }
 
     /** Cost per share of the need, by the resource of which the task frees the largest share. */
--- a/src/main/java/org/springmill/control/cluster/EquivalenceClass.java
+++ b/src/main/java/org/springmill/control/cluster/EquivalenceClass.java
@@ -2,6 +2,7 @@
 
 import java.util.List;
 import java.util.Optional;
+import org.springmill.protocol.HeartbeatSize;
 import org.springmill.protocol.Priority;
 import org.springmill.protocol.Submission;
 
@@ -15,6 +16,7 @@
         double cpus,
         double gpus,
         double memoryGb,
+        int heartbeatBytes,
         List<String> types,
         String zone,
         boolean spot,
@@ -37,6 +39,7 @@
                         spec.cpus(),
                         spec.gpus(),
                         spec.memoryGb(),
+                        HeartbeatSize.maxBytes(spec),
                         spec.machineTypes(),
                         spec.zone(),
                         spec.spot(),
--- a/src/main/java/org/springmill/control/cluster/Machine.java
+++ b/src/main/java/org/springmill/control/cluster/Machine.java
@@ -9,6 +9,7 @@
 import org.slf4j.LoggerFactory;
 import org.slf4j.event.Level;
 import org.springmill.protocol.CloudMessages.MachineType;
+import org.springmill.protocol.HeartbeatSize;
 import org.springmill.protocol.Resources;
 import org.springmill.protocol.Submission;
 import org.springmill.protocol.TaskId;
@@ -213,12 +214,31 @@
         liveness.heartbeatReceived(source, now);
         reportedTasks = heartbeat.tasks();
         areReportedTasksKnown = false;
+        allocation.setUncleared(unclearedBytes());
         preemptionAt =
                 heartbeat.preemptionNoticeSeconds() == null
                         ? Double.POSITIVE_INFINITY
                         : now + heartbeat.preemptionNoticeSeconds();
     }
 
+    /** Bytes of the reported tasks that no attempt accounts for, or only a released one. */
+    private double unclearedBytes() {
+        double bytes = 0;
+        for (TaskStatus status : reportedTasks) {
+            if (findAttempt(status) == null) {
+                bytes += HeartbeatSize.maxBytes(status.task());
+            }
+        }
+        for (TaskAttempt attempt : attempts.values()) {
+            bytes += attempt.isReleased() ? heartbeatBytes(attempt) : 0;
+        }
+        return bytes;
+    }
+
+    private static double heartbeatBytes(TaskAttempt attempt) {
+        return HeartbeatSize.maxBytes(attempt.job().spec());
+    }
+
     /** The tasks in its latest heartbeat. */
     public List<TaskStatus> reportedTasks() {
         return reportedTasks;
@@ -333,12 +353,13 @@
 
     /**
      * Frees the resources of an attempt before its end is committed: the same transaction commits
-     * its end and the claims that use its resources.
+     * its end and the claims that use its resources. The heartbeats carry it for longer.
      */
     public void releaseResources(TaskAttempt attempt) {
         if (!attempt.isReleased() && attempts.get(attempt.claim().task()) == attempt) {
             attempt.markReleased();
             allocation.charge(attempt.job().spec(), -1);
+            allocation.addUncleared(heartbeatBytes(attempt));
         }
     }
 
@@ -347,9 +368,7 @@
             return;
         }
         areReportedTasksKnown = false;
-        if (!attempt.isReleased()) {
-            allocation.charge(attempt.job().spec(), -1);
-        }
+        releaseRemoved(attempt);
         String image = attempt.job().spec().image();
         if (attempt.runningSince() == 0 && !hasAttemptWithImage(image)) {
             images.cancelFetch(image, now);
@@ -360,6 +379,18 @@
         }
     }
 
+    /** Its worker reports a task that has ended until the command to forget it arrives. */
+    private void releaseRemoved(TaskAttempt removed) {
+        if (removed.isReleased()) {
+            allocation.addUncleared(-heartbeatBytes(removed));
+        } else {
+            allocation.charge(removed.job().spec(), -1);
+        }
+        if (removed.lastReportedAt() >= liveness.lastHeartbeatAt()) {
+            allocation.addUncleared(heartbeatBytes(removed));
+        }
+    }
+
     private boolean hasAttemptWithImage(String image) {
         return attempts.values().stream()
                 .anyMatch(attempt -> attempt.job().spec().image().equals(image));
--- a/src/main/java/org/springmill/control/cluster/MachineAllocation.java
+++ b/src/main/java/org/springmill/control/cluster/MachineAllocation.java
@@ -14,29 +14,45 @@
     /** Capacity minus used; stored, since placement reads it for each job and machine. */
     private Resources free = Resources.NONE;
 
+    /** Bytes of tasks in the worker's heartbeats that use nothing else any more. */
+    private double unclearedBytes;
+
     private Resources headroom = Resources.NONE;
     private final Set<Job> reservedFor = new HashSet<>();
     private double reservedUntil;
 
     /** Sets the capacity to that of a machine type; to none for null. */
     void setCapacity(MachineType type) {
-        capacity =
-                type == null
-                        ? Resources.NONE
-                        : new Resources(type.cpus(), type.gpus(), type.memoryGb());
-        free = capacity.minus(used);
+        capacity = type == null ? Resources.NONE : type.capacity();
+        updateFree();
+    }
+
+    private void updateFree() {
+        free = capacity.minus(used).minus(new Resources(0, 0, 0, unclearedBytes));
     }
 
     /** Adds a task to the used resources (sign 1) or removes it (sign -1). */
     void charge(Submission task, int sign) {
         used = used.plus(Resources.of(task).times(sign));
-        free = capacity.minus(used);
+        updateFree();
+    }
+
+    /** Adds bytes that the worker's heartbeats carry until it has forgotten ended tasks. */
+    void addUncleared(double bytes) {
+        unclearedBytes += bytes;
+        updateFree();
+    }
+
+    /** Sets the bytes that the worker's heartbeats carry until it has forgotten ended tasks. */
+    void setUncleared(double bytes) {
+        unclearedBytes = bytes;
+        updateFree();
     }
 
     /** Sets the used resources to none, which drops the rounding errors of earlier tasks. */
     void reset() {
         used = Resources.NONE;
-        free = capacity;
+        updateFree();
     }
 
     /** Resources that no task uses; none while the machine's type is unknown. */
--- a/src/main/java/org/springmill/control/jobs/JobDirectory.java
+++ b/src/main/java/org/springmill/control/jobs/JobDirectory.java
@@ -15,6 +15,7 @@
 import org.springmill.control.storage.JobRecord;
 import org.springmill.control.storage.KeyValueStoreClient;
 import org.springmill.control.timing.Timeouts;
+import org.springmill.protocol.CommandBatchBuilder;
 import org.springmill.protocol.KeyValueStoreMessages.Change;
 import org.springmill.protocol.MalformedMessageException;
 import org.springmill.protocol.PeerMessages.Cancellation;
@@ -24,6 +25,7 @@
 import org.springmill.protocol.WorkerMessages.Heartbeat;
 import org.springmill.protocol.WorkerMessages.Stop;
 import org.springmill.protocol.WorkerMessages.TaskState;
+import org.springmill.protocol.WorkerMessages.TaskStatus;
 import org.springmill.transport.EventLoop;
 
 /**
@@ -309,13 +311,19 @@
         return cancellations.find(id) != null;
     }
 
-    /** Stop commands for the tasks of cancelled jobs that have not exited on a worker. */
+    /**
+     * Stop commands for the tasks of cancelled jobs that have not exited on a worker, as many as
+     * one response may carry; its next heartbeat shows which are left.
+     */
     public List<Command> stopCommandsFor(Heartbeat heartbeat) {
-        return heartbeat.tasks().stream()
-                .filter(task -> task.state() != TaskState.EXITED)
-                .filter(task -> isCancelled(task.task().job()))
-                .<Command>map(task -> new Stop(task.task(), task.attempt(), 0))
-                .toList();
+        CommandBatchBuilder commands = new CommandBatchBuilder();
+        for (TaskStatus task : heartbeat.tasks()) {
+            boolean isToStop = task.state() != TaskState.EXITED && isCancelled(task.task().job());
+            if (isToStop && !commands.add(new Stop(task.task(), task.attempt(), 0))) {
+                break;
+            }
+        }
+        return commands.build();
     }
 
     /**
--- a/src/main/java/org/springmill/control/recall/RecallReservations.java
+++ b/src/main/java/org/springmill/control/recall/RecallReservations.java
@@ -48,8 +48,14 @@
             return progress.recall().key();
         }
 
+        /** The stored amount, with what the beneficiary's task takes of a heartbeat. */
         Resources amount() {
-            return progress.recall().amount();
+            Resources stored = progress.recall().amount();
+            return new Resources(
+                    stored.cpus(),
+                    stored.gpus(),
+                    stored.memoryGb(),
+                    Resources.of(beneficiary.spec()).heartbeatBytes());
         }
     }
 
--- a/src/main/java/org/springmill/control/workers/DueCommands.java
+++ b/src/main/java/org/springmill/control/workers/DueCommands.java
@@ -7,6 +7,7 @@
 import org.springmill.control.cluster.Fleet;
 import org.springmill.control.cluster.Machine;
 import org.springmill.control.cluster.TaskAttempt;
+import org.springmill.protocol.CommandBatchBuilder;
 import org.springmill.protocol.WorkerMessages.Command;
 import org.springmill.protocol.WorkerMessages.Forget;
 import org.springmill.protocol.WorkerMessages.Start;
@@ -36,44 +37,47 @@
     }
 
     /**
-     * Returns the commands that are due now, and schedules when each is due again. Raises the
-     * worker's fencing token if an earlier start command could still arrive and must be rejected.
+     * Returns the commands that are due now, as many as one message may carry, and schedules when
+     * each is due again. Raises the worker's fencing token if an earlier start command could still
+     * arrive and must be rejected.
      */
     List<Command> collect(Machine machine) {
         double now = fleet.now();
-        List<TaskAttempt> starts = new ArrayList<>();
-        List<Command> commands = new ArrayList<>();
+        CommandBatchBuilder commands = new CommandBatchBuilder();
+        boolean raiseToken = addStops(machine, now, commands);
+        raiseToken |= addCleanupCommands(machine, now, commands);
+        if (raiseToken) {
+            machine.workerEpoch().raiseFencingToken();
+        }
+        addStarts(machine, now, commands);
+        return commands.build();
+    }
+
+    /**
+     * Adds stop commands, and requests a status for attempts whose state is unknown.
+     *
+     * @return whether the fencing token has to be raised
+     */
+    private boolean addStops(Machine machine, double now, CommandBatchBuilder commands) {
         boolean raiseToken = false;
         for (TaskAttempt attempt : machine.attempts()) {
-            if (now < attempt.nextSendAt()) {
+            if (now < attempt.nextSendAt() || !isToBeSettled(attempt)) {
                 continue;
             }
-            switch (attempt.state()) {
-                case CLAIMED, SENT -> {
-                    if (isStartDue(machine, attempt)) {
-                        recordStartDue(attempt, now);
-                        starts.add(attempt);
-                    }
-                }
-                case STOPPING -> {
-                    attempt.scheduleResend(now + resendIntervalSeconds);
-                    commands.add(stopCommand(attempt));
-                    raiseToken |= mayStartStillArrive(machine, attempt);
-                }
-                case UNKNOWN -> {
-                    attempt.scheduleResend(now + resendIntervalSeconds);
-                    machine.commandChannel().requestStatus();
-                    raiseToken |= mayStartStillArrive(machine, attempt);
-                }
-                default -> {}
+            if (attempt.state() == TaskAttempt.State.UNKNOWN) {
+                machine.commandChannel().requestStatus();
+            } else if (!commands.add(stopCommand(attempt))) {
+                break;
             }
+            attempt.scheduleResend(now + resendIntervalSeconds);
+            raiseToken |= mayStartStillArrive(machine, attempt);
         }
-        raiseToken |= addCleanupCommands(machine, now, commands);
-        if (raiseToken) {
-            machine.workerEpoch().raiseFencingToken();
-        }
-        addStarts(machine, starts, commands);
-        return commands;
+        return raiseToken;
+    }
+
+    private static boolean isToBeSettled(TaskAttempt attempt) {
+        return attempt.state() == TaskAttempt.State.STOPPING
+                || attempt.state() == TaskAttempt.State.UNKNOWN;
     }
 
     /**
@@ -82,16 +86,12 @@
      * lapsed since the claim was committed.
      */
     private boolean isStartDue(Machine machine, TaskAttempt attempt) {
+        boolean isClaimed =
+                attempt.state() == TaskAttempt.State.CLAIMED
+                        || attempt.state() == TaskAttempt.State.SENT;
         boolean isForThisEpoch =
                 attempt.startEpoch() == 0 || attempt.startEpoch() == machine.epoch();
-        return isForThisEpoch && mayStartTasks.getAsBoolean();
-    }
-
-    private void recordStartDue(TaskAttempt attempt, double now) {
-        if (attempt.state() == TaskAttempt.State.CLAIMED) {
-            attempt.transition(TaskAttempt.State.SENT, now);
-        }
-        attempt.scheduleResend(now + resendIntervalSeconds);
+        return isClaimed && isForThisEpoch && mayStartTasks.getAsBoolean();
     }
 
     private static Stop stopCommand(TaskAttempt attempt) {
@@ -113,7 +113,7 @@
      * @return whether the fencing token has to be raised: a worker that has forgotten an attempt
      *     would run it again if a delayed start command arrived, so that is rejected first
      */
-    private boolean addCleanupCommands(Machine machine, double now, List<Command> commands) {
+    private boolean addCleanupCommands(Machine machine, double now, CommandBatchBuilder commands) {
         if (!machine.commandChannel().isCleanupDue(now) || machine.areReportedTasksKnown()) {
             return false;
         }
@@ -125,12 +125,10 @@
             }
             allKnown = false;
             machine.commandChannel().postponeCleanupUntil(now + resendIntervalSeconds);
-            if (status.state() == TaskState.EXITED) {
-                commands.add(new Forget(status.task(), status.attempt()));
-                raiseToken = true;
-            } else {
-                commands.add(new Stop(status.task(), status.attempt(), NO_GRACE));
+            if (!commands.add(cleanupCommand(status))) {
+                break;
             }
+            raiseToken |= status.state() == TaskState.EXITED;
         }
         if (allKnown) {
             machine.markReportedTasksKnown();
@@ -138,16 +136,38 @@
         return raiseToken;
     }
 
+    private static Command cleanupCommand(TaskStatus status) {
+        return status.state() == TaskState.EXITED
+                ? new Forget(status.task(), status.attempt())
+                : new Stop(status.task(), status.attempt(), NO_GRACE);
+    }
+
     /**
      * Adds start commands, smallest image first: workers fetch in this order, and a small image
      * delays a large one least.
      */
-    private static void addStarts(
-            Machine machine, List<TaskAttempt> starts, List<Command> commands) {
-        starts.sort(Comparator.comparingDouble(attempt -> attempt.job().spec().imageGb()));
-        for (TaskAttempt attempt : starts) {
-            attempt.recordStartSent(machine.fencingToken(), machine.epoch());
-            commands.add(new Start(attempt.claim().task(), attempt.claim().round()));
+    private void addStarts(Machine machine, double now, CommandBatchBuilder commands) {
+        List<TaskAttempt> due = new ArrayList<>();
+        for (TaskAttempt attempt : machine.attempts()) {
+            if (now >= attempt.nextSendAt() && isStartDue(machine, attempt)) {
+                due.add(attempt);
+            }
         }
+        due.sort(Comparator.comparingDouble(attempt -> attempt.job().spec().imageGb()));
+        for (TaskAttempt attempt : due) {
+            Start start = new Start(attempt.claim().task(), attempt.claim().round());
+            if (!commands.add(start)) {
+                return;
+            }
+            recordStart(machine, attempt, now);
+        }
+    }
+
+    private void recordStart(Machine machine, TaskAttempt attempt, double now) {
+        if (attempt.state() == TaskAttempt.State.CLAIMED) {
+            attempt.transition(TaskAttempt.State.SENT, now);
+        }
+        attempt.scheduleResend(now + resendIntervalSeconds);
+        attempt.recordStartSent(machine.fencingToken(), machine.epoch());
     }
 }
--- a/src/main/java/org/springmill/emulator/EmulatedCloud.java
+++ b/src/main/java/org/springmill/emulator/EmulatedCloud.java
@@ -101,8 +101,7 @@
             if (call.path().equals(CloudMessages.MACHINE_TYPES_PATH)) {
                 call.reply(200, CloudSideMessages.encodeMachineTypes(machineTypes()), 0);
             } else if (call.path().equals(CloudMessages.DELETIONS_PATH)) {
-                CloudSideMessages.decodeDeletion(call.body()).forEach(this::delete);
-                call.reply(200, KeyValueStoreServerMessages.encodeRevision(0), 0);
+                delete(call, CloudSideMessages.decodeDeletion(call.body()));
             } else if (call.method().equals("POST")) {
                 rent(call, CloudSideMessages.decodeRental(call.body()));
             } else {
@@ -154,6 +153,16 @@
         call.reply(200, CloudSideMessages.encodeRentalResponse(names), 0);
     }
 
+    private void delete(Call call, List<String> names) {
+        if (names.size() > CloudMessages.MAX_DELETIONS) {
+            String error = names.size() + " names; at most " + CloudMessages.MAX_DELETIONS;
+            call.reply(400, KeyValueStoreServerMessages.encodeError(error), 0);
+            return;
+        }
+        names.forEach(this::delete);
+        call.reply(200, KeyValueStoreServerMessages.encodeRevision(0), 0);
+    }
+
     private void delete(String name) {
         Rented machine = rented.get(name);
         if (machine != null && machine.deletedAt == Double.POSITIVE_INFINITY) {
--- a/src/main/java/org/springmill/emulator/EmulatedKeyValueStore.java
+++ b/src/main/java/org/springmill/emulator/EmulatedKeyValueStore.java
@@ -17,6 +17,7 @@
 import org.springmill.protocol.KeyValueStoreMessages.Entry;
 import org.springmill.protocol.KeyValueStoreMessages.Write;
 import org.springmill.protocol.MalformedMessageException;
+import org.springmill.protocol.MessageLimits;
 import org.springmill.protocol.counterpart.KeyValueStoreServerMessages;
 import org.springmill.protocol.counterpart.KeyValueStoreServerMessages.Commit;
 import org.springmill.protocol.counterpart.KeyValueStoreServerMessages.Get;
@@ -36,7 +37,7 @@
  */
 public final class EmulatedKeyValueStore {
     private static final int MAX_CHANGES_KEPT = 10_000;
-    private static final int MAX_COMMIT_BYTES = 64 * 1024;
+    private static final int MAX_COMMIT_BYTES = MessageLimits.MAX_BYTES;
     private static final int MAX_PAGE_BYTES = 512 * 1024;
     private static final int CONDITIONS_PER_WRITE = 4;
     private static final double EXPIRY_INTERVAL_SECONDS = 0.05;
--- a/src/main/java/org/springmill/emulator/EmulatedWorker.java
+++ b/src/main/java/org/springmill/emulator/EmulatedWorker.java
@@ -8,6 +8,7 @@
 import org.springmill.emulator.Measurements.Message;
 import org.springmill.emulator.Scenario.MachineGroup;
 import org.springmill.protocol.MalformedMessageException;
+import org.springmill.protocol.MessageLimits;
 import org.springmill.protocol.TaskId;
 import org.springmill.protocol.WorkerMessages;
 import org.springmill.protocol.WorkerMessages.Heartbeat;
@@ -274,7 +275,11 @@
         }
     }
 
+    /** Returns null for a malformed message, and for one that the protocol does not allow. */
     private static CommandBatch parse(byte[] body) {
+        if (body.length > MessageLimits.MAX_BYTES) {
+            return null;
+        }
         try {
             return WorkerSideMessages.decodeCommands(body);
         } catch (MalformedMessageException e) {
--- a/src/main/java/org/springmill/protocol/CloudMessages.java
+++ b/src/main/java/org/springmill/protocol/CloudMessages.java
@@ -81,10 +81,17 @@
             double byCpus = cpus / Math.max(MIN_AMOUNT, job.cpus());
             double byMemory = memoryGb / Math.max(MIN_AMOUNT, job.memoryGb());
             double byGpus = job.gpus() == 0 ? Integer.MAX_VALUE : gpus / job.gpus();
-            double tasks = Math.min(byCpus, Math.min(byMemory, byGpus));
+            double byHeartbeat =
+                    HeartbeatSize.MAX_TASK_BYTES / (double) HeartbeatSize.maxBytes(job);
+            double tasks = Math.min(Math.min(byCpus, byMemory), Math.min(byGpus, byHeartbeat));
             return (int) Math.max(1, tasks);
         }
 
+        /** The resources of an empty machine of this type. */
+        public Resources capacity() {
+            return new Resources(cpus, gpus, memoryGb, HeartbeatSize.MAX_TASK_BYTES);
+        }
+
         /**
          * The current price per hour.
          *
--- a/src/test/java/org/springmill/control/autoscaling/DemandPackingTest.java
+++ b/src/test/java/org/springmill/control/autoscaling/DemandPackingTest.java
@@ -14,6 +14,7 @@
 import org.springmill.control.cluster.MachineKind;
 import org.springmill.control.cluster.ZoneCounts;
 import org.springmill.protocol.CloudMessages.MachineType;
+import org.springmill.protocol.HeartbeatSize;
 import org.springmill.protocol.Resources;
 import org.springmill.protocol.Submission;
 
@@ -51,6 +52,16 @@
                 bins);
     }
 
+    /** Guards against served: tasks wait for room in heartbeats, and no machine is rented. */
+    @Test
+    void machinesArePlannedForTasksThatOneHeartbeatCannotList() {
+        Submission tiny = PackingFixtures.job(3000).size(0.001, 0, 0.001).build();
+        int planned = plannedFor(tiny, kind -> kind.type().equals(CHEAP)).size();
+        int perMachine = HeartbeatSize.MAX_TASK_BYTES / HeartbeatSize.maxBytes(tiny);
+        assertEquals((int) Math.ceil(3000.0 / perMachine) - 1, planned);
+        assertEquals(perMachine, CHEAP.tasksPerMachine(tiny));
+    }
+
     private List<String> plannedFor(Submission job, Predicate<MachineKind> available) {
         DemandPacking packing = packing(available);
         packing.pack(PackingRequest.ofJob(job, job.tasks(), new ZoneCounts(), machine -> false));
@@ -164,7 +175,8 @@
         DemandPacking packing = packing(Objects::nonNull);
         packing.pack(PackingRequest.ofJob(job, 2, new ZoneCounts(), machine -> false));
         packing.pack(PackingRequest.ofExpected(job, 3));
-        assertEquals(new Resources(30, 0, 3), bins.get(0).expected());
+        assertEquals(
+                new Resources(30, 0, 3, 3 * HeartbeatSize.maxBytes(job)), bins.get(0).expected());
     }
 
     @Test
--- a/src/test/java/org/springmill/sim/SimCloud.java
+++ b/src/test/java/org/springmill/sim/SimCloud.java
@@ -18,6 +18,9 @@
 public final class SimCloud {
     private static final ObjectMapper JSON = new ObjectMapper();
     static final double BOOT_SECONDS = 20;
+    private static final int MAX_RENTED_AT_ONCE = 50;
+    private static final int MAX_DELETED_AT_ONCE = 100;
+    private static final int MAX_LISTED = 500;
 
     /** A machine type as the cloud offers it. */
     record Type(String name, double cpus, double gpus, double memoryGb, double price) {}
@@ -134,9 +137,12 @@
         }
         JsonNode body = request.body().length == 0 ? null : SimKeyValueStore.parse(request.body());
         if (request.path().equals("/rentals")) {
-            return rent(body);
+            return body.path("count").asInt() > MAX_RENTED_AT_ONCE ? malformed() : rent(body);
         }
         if (request.path().equals("/rentals/delete")) {
+            if (body.path("stones").size() > MAX_DELETED_AT_ONCE) {
+                return malformed();
+            }
             for (JsonNode name : body.path("stones")) {
                 remove(name.asText());
             }
@@ -146,10 +152,14 @@
                 200, page(frozenList == null ? list() : frozenList, request.path()));
     }
 
+    private static Reply malformed() {
+        return SimKeyValueStore.reply(400, JSON.createObjectNode().put("error", "malformed"));
+    }
+
     /** The part of a list that a request asks for, by its {@code from} and {@code limit}. */
     private static ObjectNode page(ObjectNode list, String path) {
         String from = parameter(path, "from", "");
-        int limit = Integer.parseInt(parameter(path, "limit", "500"));
+        int limit = Math.min(MAX_LISTED, Integer.parseInt(parameter(path, "limit", "500")));
         ObjectNode out = JSON.createObjectNode();
         ArrayNode stones = out.putArray("stones");
         for (JsonNode machine : list.path("stones")) {
--- a/src/test/java/org/springmill/sim/SimNetwork.java
+++ b/src/test/java/org/springmill/sim/SimNetwork.java
@@ -16,6 +16,11 @@
 public final class SimNetwork {
     private static final double DELAY_SECONDS = 0.002;
 
+    /** The protocol's limit on the body of a request and on a line of a response. */
+    private static final int MAX_BYTES = 64 * 1024;
+
+    private static final int MALFORMED = 400;
+
     /** How the network treats a request. */
     public enum Delivery {
         DELIVER,
@@ -44,6 +49,7 @@
     private Delays responseDelays = (from, request) -> 0;
     private SplittableRandom random;
     private double duplicatedHeartbeatShare;
+    private int refusedForSize;
 
     private record HeldRequest(String from, Request request) {}
 
@@ -169,6 +175,11 @@
         }
     }
 
+    /** Whether the sender of a request is a worker or a user. */
+    private static boolean hasLimitedLines(String from) {
+        return !SimSettings.isControllerName(from);
+    }
+
     private static Consumer<Reply> onlyOnce(Consumer<Reply> done) {
         boolean[] answered = new boolean[1];
         return reply -> {
@@ -191,10 +202,30 @@
     }
 
     private void deliver(double delaySeconds, String from, Request request, Consumer<Reply> done) {
-        cluster.clock().after(delaySeconds, () -> cluster.route(from, request, done));
+        cluster.clock().after(delaySeconds, () -> deliver(from, request, done));
+    }
+
+    /** Every server refuses a body that is longer than the protocol allows. */
+    private void deliver(String from, Request request, Consumer<Reply> done) {
+        if (request.body().length > MAX_BYTES) {
+            refusedForSize++;
+            done.accept(new Reply(MALFORMED, new byte[0]));
+        } else {
+            cluster.route(from, request, done);
+        }
+    }
+
+    /** The number of requests and responses that were longer than the protocol allows. */
+    public int refusedForSize() {
+        return refusedForSize;
     }
 
     private void respond(String from, Request request, Reply reply, Consumer<Reply> done) {
+        if (hasLimitedLines(from) && reply.body().length > MAX_BYTES) {
+            // One line of JSON: nobody has to read it.
+            refusedForSize++;
+            return;
+        }
         double delaySeconds = DELAY_SECONDS + responseDelays.delaySeconds(from, request);
         cluster.clock().after(delaySeconds, () -> done.accept(reply));
     }
--- a/src/test/java/org/springmill/sim/SimSettings.java
+++ b/src/test/java/org/springmill/sim/SimSettings.java
@@ -32,6 +32,10 @@
         return CONTROLLER_PREFIX + controller;
     }
 
+    static boolean isControllerName(String name) {
+        return name.startsWith(CONTROLLER_PREFIX);
+    }
+
     /** The number of a controller, by its name. */
     static int controllerNumber(String name) {
         return Integer.parseInt(name.substring(CONTROLLER_PREFIX.length()));
--- a/src/test/java/org/springmill/sim/SimWorker.java
+++ b/src/test/java/org/springmill/sim/SimWorker.java
@@ -302,6 +302,15 @@
         return SimKeyValueStore.reply(refused ? 409 : 200, heartbeatBody());
     }
 
+    /** Starts tasks as by commands with the token and epoch that are valid now. */
+    void startDirectly(String job, int numberOfTasks) {
+        ArrayNode orders = JSON.createArrayNode();
+        for (int index = 0; index < numberOfTasks; index++) {
+            orders.addObject().put("verb", "start").put("sack", job + "/" + index).put("try", 1);
+        }
+        execute(orders);
+    }
+
     boolean reachable() {
         return up && !terminated && !hung;
     }
--- a/src/test/java/org/springmill/sim/SimulatedCluster.java
+++ b/src/test/java/org/springmill/sim/SimulatedCluster.java
@@ -314,6 +314,11 @@
         }
     }
 
+    /** Starts tasks on a machine that no leader has claimed. */
+    public void startUnknownTasks(SimWorker machine, String job, int tasks) {
+        machine.startDirectly(job, tasks);
+    }
+
     /** Sends a user's request to a controller without waiting for the answer. */
     public void sendAsUser(
             int controller,
