A recovery that is repeated builds its state anew: no claim of a running task is lost

Cause: a step that is retried wrote into what its first attempt had filled. A new leader that was refused while it read the recalls read everything again, and replayed the rounds into the index that held them already. Each key stood in it twice, the live claims counted for the second copies, and compaction deleted the first ones, which are the same keys. The leader went on from memory; the next one did not find the claims.

An index refuses a value that is not newer than its newest, so that compaction, which deletes by key, can't delete what stands in another copy. The simulated key-value store can refuse single requests, and RefusedRequestDaysTest draws them; it checks that the next leader would find a claim for each running task.

The fix holds since nothing of an attempt that is not complete outlives it.

--- a/src/main/java/org/springmill/control/storage/RoundIndex.java
+++ b/src/main/java/org/springmill/control/storage/RoundIndex.java
@@ -17,11 +17,19 @@
  * recovered by replaying the values in the order of their keys; the last copy of a claim is kept.
  */
 final class RoundIndex {
-    private final ArrayDeque<StoredRound> values = new ArrayDeque<>();
-    private final Map<String, StoredRound> valueByClaim = new HashMap<>();
+    private ArrayDeque<StoredRound> values = new ArrayDeque<>();
+    private Map<String, StoredRound> valueByClaim = new HashMap<>();
     private long lastNumber;
     private long logStartVersion;
 
+    /** Takes over the content of another index, which must not be used any more. */
+    void replaceBy(RoundIndex other) {
+        values = other.values;
+        valueByClaim = other.valueByClaim;
+        lastNumber = other.lastNumber;
+        logStartVersion = other.logStartVersion;
+    }
+
     /** Number of the last round that is known to be committed. */
     long lastNumber() {
         return lastNumber;
@@ -67,8 +75,19 @@
         lastNumber = number;
     }
 
-    /** Adds the newest value with its claims and removes those claims from older values. */
+    /**
+     * Adds the newest value with its claims and removes those claims from older values. A key
+     * stands once: if it stood twice, compaction would delete the value that holds live claims
+     * together with the other one.
+     *
+     * @throws IllegalStateException if the value is not the newest
+     */
     void add(StoredRound value, List<Claim> claims) {
+        StoredRound newest = values.peekLast();
+        if (newest != null && newest.key().compareTo(value.key()) >= 0) {
+            throw new IllegalStateException(
+                    "round " + value.key() + " cannot follow round " + newest.key());
+        }
         values.add(value);
         for (Claim claim : claims) {
             removeClaim(claim.key());
--- a/src/main/java/org/springmill/control/storage/RoundLog.java
+++ b/src/main/java/org/springmill/control/storage/RoundLog.java
@@ -4,12 +4,10 @@
 import java.util.Collection;
 import java.util.List;
 import java.util.Map;
+import java.util.Optional;
 import java.util.function.Consumer;
 import java.util.function.Predicate;
-import org.springmill.control.storage.KeyValueStoreClient.ReadResult;
 import org.springmill.protocol.KeyValueStoreMessages.Condition;
-import org.springmill.protocol.KeyValueStoreMessages.Entry;
-import org.springmill.protocol.KeyValueStoreMessages.Page;
 import org.springmill.protocol.KeyValueStoreMessages.Write;
 import org.springmill.protocol.Settings;
 import org.springmill.transport.EventLoop;
@@ -57,7 +55,6 @@
     private final RoundWriter writer;
     private final int maxItemsPerRound;
     private final Reserve reserve;
-    private boolean isLogStartKnown;
 
     /** The part of each transaction that rounds leave free for writes of other records. */
     public record Reserve(int writes, int bytes) {
@@ -144,35 +141,21 @@
 
     /**
      * Recovers all rounds. Only for use by a leader: transactions of earlier terms can then no
-     * longer be applied, so no round is missed.
+     * longer be applied, so no round is missed. May be repeated until the first round is committed;
+     * the last complete attempt counts.
      *
      * @param done receives null if the key-value store could not be read
      */
     public void load(Consumer<RecoveredRounds> done) {
-        store.get(RoundCodec.LOG_START_KEY, this::logStartRead);
-        store.list(RoundCodec.PREFIX, page -> pageRead(page, done));
+        RoundLogReading.start(store, loaded -> loaded(loaded, done));
     }
 
-    private void logStartRead(ReadResult read) {
-        if (read.served()) {
-            isLogStartKnown = true;
-            index.setLogStartVersion(read.entry() == null ? 0 : read.entry().version());
-        }
-    }
-
-    private void pageRead(Page page, Consumer<RecoveredRounds> done) {
+    private void loaded(Optional<RoundIndex> loaded, Consumer<RecoveredRounds> done) {
         if (writer.isClosed()) {
             return;
         }
-        if (page == null) {
-            done.accept(null);
-            return;
-        }
-        for (Entry entry : page.entries()) {
-            index.replay(entry);
-        }
-        boolean isPredecessorKnown = index.size() > 0 || isLogStartKnown;
-        done.accept(isPredecessorKnown ? index.recover() : null);
+        loaded.ifPresent(index::replaceBy);
+        done.accept(loaded.isPresent() ? index.recover() : null);
     }
 
     /**
--- /dev/null
+++ b/src/test/java/org/springmill/control/simulation/RefusedRequestDaysTest.java
@@ -0,0 +1,186 @@
+package org.springmill.control.simulation;
+
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Set;
+import java.util.SplittableRandom;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.MethodSource;
+import org.springmill.control.storage.StoredLiveClaims;
+import org.springmill.protocol.OperatorSettings;
+import org.springmill.sim.SimOptions;
+import org.springmill.sim.SimWorker;
+import org.springmill.sim.SimulatedCluster;
+
+/**
+ * Days drawn from a seed: the key-value store refuses single requests and serves the next, also of
+ * a new leader and between the pages of a listing, while controllers crash and machines hang.
+ * Recalls are on or off. A longer run by hand: {@code mvn test -Dtest=RefusedRequestDaysTest
+ * -Dspringmill.days=1000 -Dspringmill.firstSeed=5000}.
+ */
+class RefusedRequestDaysTest extends ClusterFixture {
+    private static final int STEPS = 24;
+    private static final int STEPS_PER_REFUSED_RECOVERY = 4;
+    private static final double MAX_STEP_SECONDS = 10;
+    private static final double MAX_HANG_SECONDS = 10;
+    private static final double MAX_REFUSED_SHARE = 0.9;
+    private static final double MAX_REFUSAL_SECONDS = 4;
+    private static final double MAX_ELECTION_SECONDS = 1.5;
+    private static final double MAX_DOWN_SECONDS = 8;
+    private static final int SERVICES_AT_ONCE = 12;
+    private static final int SHORT_JOBS_PER_STEP = 8;
+    private static final double RECOVERY_SECONDS = 120;
+
+    private final List<String> liveJobs = new ArrayList<>();
+
+    /** The tasks of all services that were accepted. */
+    private final List<String> services = new ArrayList<>();
+
+    private SplittableRandom random;
+    private int submitted;
+
+    /** What happens at the beginning of a step. */
+    private enum Event {
+        REFUSE_REQUESTS,
+        CRASH_LEADER,
+        REFUSE_THE_NEXT_LEADER,
+        CRASH_ANY,
+        HANG,
+        SERVICES,
+        SHORT_JOBS,
+        CANCEL
+    }
+
+    private static final List<Event> EVENTS = List.of(Event.values());
+
+    /** Guards against ran_twice and others by a step that is repeated after a refusal. */
+    @ParameterizedTest
+    @MethodSource("org.springmill.control.simulation.DaySeeds#seeds")
+    void noInvariantIsBrokenWhicheverRequestIsRefused(long seed) {
+        random = new SplittableRandom(seed);
+        startCluster(new SimulatedCluster(drawOptions(seed)));
+        cluster.startPolling();
+        submitServices();
+        for (int step = 0; step < STEPS; step++) {
+            boolean isRecovery = random.nextInt(STEPS_PER_REFUSED_RECOVERY) == 0;
+            apply(
+                    isRecovery
+                            ? Event.REFUSE_THE_NEXT_LEADER
+                            : EVENTS.get(random.nextInt(EVENTS.size())));
+            cluster.run(random.nextDouble() * MAX_STEP_SECONDS);
+            assertRunningTasksAreClaimed();
+        }
+        cluster.run(MAX_HANG_SECONDS);
+        cluster.endFailures().run(RECOVERY_SECONDS);
+    }
+
+    /** The next leader has to know each task that runs. */
+    private void assertRunningTasksAreClaimed() {
+        Map<String, JsonNode> rounds = new HashMap<>();
+        for (String key : cluster.keyValueStore().keysUnder("round/")) {
+            rounds.put(key, cluster.keyValueStore().value(key));
+        }
+        Set<String> claimed = StoredLiveClaims.tasks(rounds);
+        for (String task : services) {
+            boolean runs = machines().stream().anyMatch(machine -> machine.runs(task));
+            assertTrue(!runs || claimed.contains(task), task + " runs without a claim");
+        }
+    }
+
+    private SimOptions drawOptions(long seed) {
+        Optional<OperatorSettings.Borrowing> recalls =
+                random.nextBoolean()
+                        ? Optional.of(OperatorSettings.Borrowing.DEFAULTS)
+                        : Optional.empty();
+        return SimOptions.DEFAULTS.withSeed(seed).withBorrowing(recalls);
+    }
+
+    private void apply(Event event) {
+        switch (event) {
+            case REFUSE_REQUESTS -> refuseRequests();
+            case CRASH_LEADER -> crash(cluster.leader());
+            case REFUSE_THE_NEXT_LEADER -> refuseTheNextLeader();
+            case CRASH_ANY -> crash(random.nextInt(CONTROLLERS));
+            case HANG -> hangMachine();
+            case SERVICES -> submitServices();
+            case SHORT_JOBS -> runShortJobs();
+            case CANCEL -> cancel();
+        }
+    }
+
+    private void refuseRequests() {
+        cluster.keyValueStore().refuseRequests(random.nextDouble() * MAX_REFUSED_SHARE);
+        cluster.clock()
+                .after(
+                        random.nextDouble() * MAX_REFUSAL_SECONDS,
+                        () -> cluster.keyValueStore().refuseRequests(0));
+    }
+
+    /** Refusals that begin while the next leader is elected or recovers. */
+    private void refuseTheNextLeader() {
+        crash(cluster.leader());
+        cluster.run(random.nextDouble() * MAX_ELECTION_SECONDS);
+        refuseRequests();
+    }
+
+    private void crash(int controller) {
+        if (controller < 0 || !cluster.isUp(controller)) {
+            return;
+        }
+        cluster.kill(controller);
+        cluster.clock().after(random.nextDouble() * MAX_DOWN_SECONDS, () -> startAgain(controller));
+    }
+
+    private void startAgain(int controller) {
+        if (!cluster.isUp(controller)) {
+            cluster.restart(controller);
+        }
+    }
+
+    private void hangMachine() {
+        List<SimWorker> machines = machines();
+        if (machines.isEmpty()) {
+            return;
+        }
+        SimWorker machine = machines.get(random.nextInt(machines.size()));
+        machine.setHung(true);
+        cluster.clock().after(random.nextDouble() * MAX_HANG_SECONDS, () -> machine.setHung(false));
+    }
+
+    private String nextId() {
+        return String.format("run-%06d", ++submitted);
+    }
+
+    private void submitServices() {
+        int number = 1 + random.nextInt(SERVICES_AT_ONCE);
+        for (int service = 0; service < number; service++) {
+            String id = nextId();
+            var job = SimulatedCluster.job(id, "blue", "service", 1, 1, random.nextInt(2));
+            if (cluster.submit(random.nextInt(CONTROLLERS), job, FOREVER) == 201) {
+                liveJobs.add(id);
+                services.add(id + "/0");
+            }
+        }
+    }
+
+    private void runShortJobs() {
+        for (int job = 0; job < SHORT_JOBS_PER_STEP; job++) {
+            var spec = SimulatedCluster.job(nextId(), "red", "sweep", 1, 1, 0);
+            cluster.submit(random.nextInt(CONTROLLERS), spec, 0.5);
+            cluster.run(1);
+        }
+    }
+
+    private void cancel() {
+        if (!liveJobs.isEmpty()) {
+            String id = liveJobs.remove(random.nextInt(liveJobs.size()));
+            cluster.cancel(random.nextInt(CONTROLLERS), id);
+        }
+    }
+}
--- a/src/test/java/org/springmill/sim/SimKeyValueStore.java
+++ b/src/test/java/org/springmill/sim/SimKeyValueStore.java
@@ -15,6 +15,8 @@
  */
 public final class SimKeyValueStore {
     private static final ObjectMapper JSON = new ObjectMapper();
+    private static final RefusalRule NONE_REFUSED = (from, request) -> false;
+    private static final int REFUSED = 503;
     private static final double MIN_COMMIT_DELAY_SECONDS = 2;
     private static final double COMMIT_DELAY_RANGE_SECONDS = 10;
 
@@ -22,6 +24,7 @@
     private final EmulatedKeyValueStore store;
     private SplittableRandom random;
     private double delayedCommitShare;
+    private RefusalRule refusalRule = NONE_REFUSED;
     private Consumer<JsonNode> onCommit = transaction -> {};
     private final List<Request> committed = new ArrayList<>();
 
@@ -77,8 +80,24 @@
         delayedCommitShare = share;
     }
 
+    /** Decides which requests get 503 while the others of the same controller are served. */
+    public interface RefusalRule {
+        boolean refuses(String from, Request request);
+    }
+
+    /** From now on single requests are refused by a rule. */
+    public void refuseRequests(RefusalRule rule) {
+        refusalRule = rule;
+    }
+
+    /** Refuses a random share of all requests. */
+    public void refuseRequests(double share) {
+        refuseRequests((from, request) -> random.nextDouble() < share);
+    }
+
     void endFailures() {
         delayedCommitShare = 0;
+        refusalRule = NONE_REFUSED;
         store.serveAll();
     }
 
@@ -93,6 +112,10 @@
     }
 
     void handle(String from, Request request, Consumer<Reply> done) {
+        if (refusalRule.refuses(from, request)) {
+            done.accept(reply(REFUSED, JSON.createObjectNode().put("error", "trouble")));
+            return;
+        }
         boolean delayed =
                 request.path().equals("/commit")
                         && delayedCommitShare > 0
