Derived cancellations are written in transactions of at most 48 KiB

Cause: CancellationPersister counted records and not bytes. Eight records of 8 KiB are above the 64 KiB of a transaction; the refusal was taken for a lower limit on values, and halved the limits of the process.

Change: a batch ends before its records exceed 48 KiB.

Evidence: CancellationPersisterTest.longRecordsAreWrittenInTransactionsOfTheAllowedSize failed before (all eight dependents unwritten, expected: <[]> but was: <[2, 3, 4, 5, 6, 7, 8, 9]>) and passes after; the tests of job chains pass.

--- a/src/main/java/org/springmill/control/controller/CancellationPersister.java
+++ b/src/main/java/org/springmill/control/controller/CancellationPersister.java
@@ -9,8 +9,10 @@
 import org.springmill.control.storage.JobRecord;
 import org.springmill.control.storage.KeyValueStoreClient;
 import org.springmill.control.storage.KeyValueStoreClient.CommitResult;
+import org.springmill.protocol.Json;
 import org.springmill.protocol.KeyValueStoreMessages.Condition;
 import org.springmill.protocol.KeyValueStoreMessages.Write;
+import org.springmill.protocol.MessageLimits;
 import org.springmill.transport.EventLoop;
 
 /**
@@ -29,6 +31,9 @@
     /** Rate of these writes, as a ratio to the write rate limit of the key-value store. */
     private static final double WRITE_RATE_RATIO = 0.1;
 
+    /** Leaves a quarter of a transaction to keys and conditions. */
+    private static final int MAX_BATCH_BYTES = MessageLimits.MAX_BYTES * 3 / 4;
+
     private final KeyValueStoreClient store;
     private final JobDirectory directory;
     private final Leadership leadership;
@@ -59,7 +64,8 @@
         if (closed) {
             return;
         }
-        List<JobRecord> batch = directory.dependencies().pendingPersistence(batchSize());
+        List<JobRecord> batch =
+                withinOneTransaction(directory.dependencies().pendingPersistence(batchSize()));
         if (batch.isEmpty() || store.backlog() > 0 || !leadership.mayPlace()) {
             scheduleRunAfter(batch);
             return;
@@ -71,6 +77,18 @@
         return singleWrites > 0 ? 1 : Math.max(1, store.limits().writesPerCommit() / 2);
     }
 
+    /** The first records, as many as fit into one transaction, but at least one. */
+    private List<JobRecord> withinOneTransaction(List<JobRecord> records) {
+        int bytes = 0;
+        for (int count = 0; count < records.size(); count++) {
+            bytes += Json.bytes(records.get(count).encode(store.limits().valueBytes())).length;
+            if (bytes > MAX_BATCH_BYTES) {
+                return records.subList(0, Math.max(1, count));
+            }
+        }
+        return records;
+    }
+
     /** Schedules the next run for when the write rate allows it after a batch of that size. */
     private void scheduleRunAfter(List<JobRecord> batch) {
         double writesPerSecond = WRITE_RATE_RATIO * store.limits().writesPerSecond();
--- a/src/test/java/org/springmill/control/controller/CancellationPersisterTest.java
+++ b/src/test/java/org/springmill/control/controller/CancellationPersisterTest.java
@@ -13,7 +13,9 @@
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
 import org.springmill.protocol.Json;
+import org.springmill.protocol.Settings;
 import org.springmill.sim.SimNetwork.Delivery;
+import org.springmill.sim.SimOptions;
 import org.springmill.sim.SimulatedCluster;
 import org.springmill.transport.HttpClient.Request;
 
@@ -118,6 +120,40 @@
         assertEquals(List.of(), unwritten());
     }
 
+    /**
+     * Guards against 422 for jobs that can run: a batch of long records made a transaction above 64
+     * KiB, and the leader took its refusal for a lower limit on values.
+     */
+    @Test
+    void longRecordsAreWrittenInTransactionsOfTheAllowedSize() {
+        cluster =
+                new SimulatedCluster(
+                        SimOptions.DEFAULTS.withStoreLimits(
+                                new Settings.StoreLimits(150, 60, 8192, 16)));
+        cluster.keyValueStore().setSizeLimits(8192, 16);
+        cluster.machines("large", "a", 1).run(6);
+        submit(job(FIRST));
+        for (int number = FIRST + 1; number <= LAST; number++) {
+            submit(withLongRecord(job(number, FIRST)));
+        }
+        cluster.run(3);
+        assertEquals("cancelled", cluster.cancel(cluster.leader(), id(FIRST)));
+        cluster.run(30);
+        assertEquals(List.of(), unwritten());
+        assertEquals(0, cluster.keyValueStore().oversizedCommits());
+        submit(withLongRecord(job(LAST + 1)));
+    }
+
+    /** A record of almost 8 KiB, with names of machine types that the cloud does not offer. */
+    private static ObjectNode withLongRecord(ObjectNode job) {
+        job.put("mould", "img-" + "x".repeat(60));
+        ArrayNode types = job.putArray("frames").add("large");
+        for (int type = 10; type < 48; type++) {
+            types.add("type-" + type + "x".repeat(193));
+        }
+        return job;
+    }
+
     /**
      * The record was accepted under a larger value limit. Its dependencies cannot be omitted to
      * shorten it.
