One way to have machines deleted, and the quorum of a fencing as a decision of its own

Cause: CancelledTaskDeletion built its own request to the cloud beside CloudClient, and who may fence could be tested on three controllers only. Behaviour is as it was, but that deletions without a leader keep to the rate limit too.

--- a/src/main/java/org/springmill/control/autoscaling/MachineDeletion.java
+++ b/src/main/java/org/springmill/control/autoscaling/MachineDeletion.java
@@ -85,10 +85,8 @@
             // This batch takes one request, so the next one is due when the rate limit allows two.
             loop.after(cloud.secondsUntil(2), this::sendBatch);
         }
-        byte[] body = CloudMessages.encodeDeletion(batch.stream().map(Machine::name).toList());
-        cloud.send(
-                cloud.post(CloudMessages.DELETIONS_PATH, body),
-                reply -> responseReceived(batch, reply));
+        List<String> names = batch.stream().map(Machine::name).toList();
+        cloud.delete(names, reply -> responseReceived(batch, reply));
     }
 
     private List<Machine> takeBatch() {
--- a/src/main/java/org/springmill/control/cancellation/CancellationEnforcement.java
+++ b/src/main/java/org/springmill/control/cancellation/CancellationEnforcement.java
@@ -39,6 +39,7 @@
             Timeouts timeouts) {
         this.peers = peers;
         CancelledTasks cancelledTasks = new CancelledTasks();
+        CloudClient cloud = new CloudClient(http, loop, settings, timeouts);
         double deadline = settings.workers().cancellationDeadlineSeconds();
         assurance =
                 new CancellationAssurance(
@@ -55,22 +56,14 @@
                         leaderKnowledge,
                         isLeading,
                         peers,
-                        http,
+                        cloud,
                         loop,
                         timeouts,
-                        settings.cloudAddress(),
                         deadline * REMEMBER_DEADLINES);
         catchUp =
                 new CancellationCatchUp(
                         cancelledTasks, leaderKnowledge, peers, loop, timeouts, deadline);
-        fencing =
-                new PartitionedZoneFencing(
-                        catchUp,
-                        store,
-                        peers,
-                        new CloudClient(http, loop, settings, timeouts),
-                        loop,
-                        timeouts);
+        fencing = new PartitionedZoneFencing(catchUp, store, peers, cloud, loop, timeouts);
     }
 
     /** Starts answering the other controllers and checking for overdue tasks. */
--- a/src/main/java/org/springmill/control/cancellation/CancelledTaskDeletion.java
+++ b/src/main/java/org/springmill/control/cancellation/CancelledTaskDeletion.java
@@ -4,13 +4,12 @@
 import java.util.function.BooleanSupplier;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
+import org.springmill.control.cluster.CloudClient;
 import org.springmill.control.membership.Peers;
 import org.springmill.control.timing.Timeouts;
 import org.springmill.protocol.CloudMessages;
 import org.springmill.transport.EventLoop;
-import org.springmill.transport.HttpClient;
 import org.springmill.transport.HttpClient.Reply;
-import org.springmill.transport.HttpClient.Request;
 
 /**
  * Deletes the machines of overdue cancelled tasks while no controller is heard to lead. Deletion
@@ -23,16 +22,12 @@
     /** Half of what the link to a controller queues. */
     private static final int MAX_UPDATES_PER_CHECK = 8;
 
-    /** The request timeout is set so that three consecutive attempts fit into one worker lease. */
-    private static final double ATTEMPTS_PER_LEASE = 3;
-
     private final CancelledTasks cancelledTasks;
     private final LeaderKnowledge leaderKnowledge;
     private final Peers peers;
-    private final HttpClient http;
+    private final CloudClient cloud;
     private final EventLoop loop;
     private final Timeouts timeouts;
-    private final String cloudAddress;
     private final double rememberSeconds;
     private final BooleanSupplier isLeading;
     private boolean isRequestPending;
@@ -45,19 +40,17 @@
             LeaderKnowledge leaderKnowledge,
             BooleanSupplier isLeading,
             Peers peers,
-            HttpClient http,
+            CloudClient cloud,
             EventLoop loop,
             Timeouts timeouts,
-            String cloudAddress,
             double rememberSeconds) {
         this.cancelledTasks = cancelledTasks;
         this.leaderKnowledge = leaderKnowledge;
         this.isLeading = isLeading;
         this.peers = peers;
-        this.http = http;
+        this.cloud = cloud;
         this.loop = loop;
         this.timeouts = timeouts;
-        this.cloudAddress = cloudAddress;
         this.rememberSeconds = rememberSeconds;
     }
 
@@ -119,14 +112,7 @@
         }
         LOG.warn("deleting machines {}: cancelled tasks on them, and no leader is heard", machines);
         isRequestPending = true;
-        Request request =
-                new Request(
-                        cloudAddress,
-                        "POST",
-                        CloudMessages.DELETIONS_PATH,
-                        CloudMessages.encodeDeletion(machines),
-                        timeouts.workerLeaseSeconds() / ATTEMPTS_PER_LEASE);
-        http.send(request, reply -> deletionAnswered(machines, reply));
+        cloud.delete(machines, reply -> deletionAnswered(machines, reply));
     }
 
     private void deletionAnswered(List<String> machines, Reply reply) {
--- a/src/main/java/org/springmill/control/cancellation/PartitionedZoneFencing.java
+++ b/src/main/java/org/springmill/control/cancellation/PartitionedZoneFencing.java
@@ -80,25 +80,14 @@
         return heardMachines.since(loop.now() - timeouts.discoveryTimeoutSeconds());
     }
 
-    /**
-     * The controllers that are not heard, one of which may be isolated in a partitioned zone.
-     *
-     * @return empty if all controllers are heard, if one that is heard has missed no cancellation,
-     *     or if this controller may be the one that is isolated
-     */
+    /** The controllers that are not heard; empty if nothing may be deleted. */
     private Optional<List<String>> silentControllers() {
         boolean mayJudge = loop.now() >= mayJudgeFrom && !catchUp.isCaughtUp();
         if (!mayJudge || store.isReachable() || peers.anyReachesStore()) {
             return Optional.empty();
         }
-        List<String> silent = peers.nodes().stream().filter(this::isSilent).toList();
-        boolean allMissedSome =
-                peers.nodes().stream()
-                        .filter(node -> !silent.contains(node))
-                        .allMatch(catchUp::mayHaveMissedAny);
-        int controllers = peers.nodes().size() + 1;
-        boolean isQuorum = 2 * (controllers - silent.size()) > controllers;
-        return Optional.of(silent).filter(nodes -> !nodes.isEmpty() && allMissedSome && isQuorum);
+        return FencingQuorum.silentControllers(
+                peers.nodes(), this::isSilent, catchUp::mayHaveMissedAny);
     }
 
     private boolean isSilent(String node) {
@@ -141,9 +130,7 @@
     private void delete(List<String> machines) {
         // Not requested again before the answer.
         deleted.addAll(machines);
-        cloud.send(
-                cloud.post(CloudMessages.DELETIONS_PATH, CloudMessages.encodeDeletion(machines)),
-                reply -> deletionAnswered(machines, reply));
+        cloud.delete(machines, reply -> deletionAnswered(machines, reply));
     }
 
     private void deletionAnswered(List<String> machines, Reply reply) {
--- a/src/main/java/org/springmill/control/cluster/CloudClient.java
+++ b/src/main/java/org/springmill/control/cluster/CloudClient.java
@@ -1,8 +1,10 @@
 package org.springmill.control.cluster;
 
+import java.util.List;
 import java.util.function.Consumer;
 import org.springmill.control.storage.TokenBucket;
 import org.springmill.control.timing.Timeouts;
+import org.springmill.protocol.CloudMessages;
 import org.springmill.protocol.Settings;
 import org.springmill.transport.EventLoop;
 import org.springmill.transport.HttpClient;
@@ -69,6 +71,15 @@
         send(request("GET", path, NO_BODY), done);
     }
 
+    /**
+     * Requests the deletion of machines as soon as the rate limit allows it.
+     *
+     * @param machines at most {@link CloudMessages#MAX_DELETIONS}
+     */
+    public void delete(List<String> machines, Consumer<Reply> done) {
+        send(post(CloudMessages.DELETIONS_PATH, CloudMessages.encodeDeletion(machines)), done);
+    }
+
     /** Builds a POST request that can be sent more than once. */
     public Request post(String path, byte[] body) {
         return request("POST", path, body);
