Whoever remembers a cancelled task does not wait for a leader that cannot know it

A cancelled task in a partitioned zone outlives cancel_s if the outage of the key-value store pauses and a leader is elected outside that can't read the rounds before it goes on.

Controllers that knew the machines of cancelled tasks left their deletion to any leader that they heard, and such a leader, in doubt and confirmed by its peers for the rest of the outage, had no state from which it could delete.

Change: the leader counts as one only once it has recovered. Others ask it for a leader's lease before a task is overdue, and delete the machines themselves if it does not answer (design.md, claim 8.7).

Evidence: PartitionedZoneCancellationTest.cancelledTasksEndWhileALeaderCannotRecover(false) failed before:

and passes after, with all tests of cancellations and partitions (155).

--- a/src/main/java/org/springmill/control/cancellation/CancellationCatchUp.java
+++ b/src/main/java/org/springmill/control/cancellation/CancellationCatchUp.java
@@ -57,7 +57,7 @@
 
     /** Whether this process knows all cancelled tasks that may still run, and their machines. */
     boolean isCaughtUp() {
-        return loop.now() >= caughtUpAt || leaderKnowledge.pendingCancellations().isPresent();
+        return loop.now() >= caughtUpAt || leaderKnowledge.isComplete();
     }
 
     /** Whether this process may still have to ask its peers. */
--- a/src/main/java/org/springmill/control/cancellation/CancellationEnforcement.java
+++ b/src/main/java/org/springmill/control/cancellation/CancellationEnforcement.java
@@ -1,6 +1,5 @@
 package org.springmill.control.cancellation;
 
-import java.util.function.BooleanSupplier;
 import org.springmill.control.cluster.CloudClient;
 import org.springmill.control.jobs.CancellationGate;
 import org.springmill.control.membership.Peers;
@@ -26,11 +25,9 @@
      * Creates the enforcement of one controller, which sends nothing before {@link #start}.
      *
      * @param leaderKnowledge what this controller knows as the leader
-     * @param isLeading whether this controller may act as the leader
      */
     public CancellationEnforcement(
             LeaderKnowledge leaderKnowledge,
-            BooleanSupplier isLeading,
             KeyValueStoreClient store,
             Peers peers,
             HttpClient http,
@@ -54,7 +51,6 @@
                 new CancelledTaskDeletion(
                         cancelledTasks,
                         leaderKnowledge,
-                        isLeading,
                         peers,
                         cloud,
                         loop,
--- a/src/main/java/org/springmill/control/cancellation/CancelledTaskDeletion.java
+++ b/src/main/java/org/springmill/control/cancellation/CancelledTaskDeletion.java
@@ -1,7 +1,6 @@
 package org.springmill.control.cancellation;
 
 import java.util.List;
-import java.util.function.BooleanSupplier;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
 import org.springmill.control.cluster.CloudClient;
@@ -12,9 +11,9 @@
 import org.springmill.transport.HttpClient.Reply;
 
 /**
- * Deletes the machines of overdue cancelled tasks while no controller is heard to lead. Deletion
- * needs no leadership: whatever it ends has ended (docs/design.md, claim 6.4). While a leader is
- * heard, that leader deletes them, and is asked which tasks are left.
+ * Deletes the machines of overdue cancelled tasks while no leader is heard that knows them.
+ * Deletion needs no leadership: whatever it ends has ended (docs/design.md, claim 6.4). While a
+ * leader answers, that leader deletes them.
  */
 final class CancelledTaskDeletion {
     private static final Logger LOG = LoggerFactory.getLogger(CancelledTaskDeletion.class);
@@ -29,7 +28,6 @@
     private final EventLoop loop;
     private final Timeouts timeouts;
     private final double rememberSeconds;
-    private final BooleanSupplier isLeading;
     private boolean isRequestPending;
 
     /**
@@ -38,7 +36,6 @@
     CancelledTaskDeletion(
             CancelledTasks cancelledTasks,
             LeaderKnowledge leaderKnowledge,
-            BooleanSupplier isLeading,
             Peers peers,
             CloudClient cloud,
             EventLoop loop,
@@ -46,7 +43,6 @@
             double rememberSeconds) {
         this.cancelledTasks = cancelledTasks;
         this.leaderKnowledge = leaderKnowledge;
-        this.isLeading = isLeading;
         this.peers = peers;
         this.cloud = cloud;
         this.loop = loop;
@@ -59,21 +55,36 @@
         loop.after(timeouts.leaderRenewIntervalSeconds(), this::run);
         double now = loop.now();
         cancelledTasks.forgetEndedSince(now - rememberSeconds);
-        List<String> overdue =
-                cancelledTasks.jobsWithMachinesSince(
-                        now - timeouts.cancellationDeletionTimeoutSeconds());
-        if (isLeading.getAsBoolean()) {
+        double overdueSince = now - timeouts.cancellationDeletionTimeoutSeconds();
+        if (leaderKnowledge.isComplete()) {
             updateAsLeader();
         } else if (peers.anyLeads()) {
-            overdue.forEach(peers::queryCancelledTasks);
-            cancelledTasks
-                    .jobsWithMachinesSince(now - rememberSeconds)
-                    .forEach(cancelledTasks::forget);
+            leaveToLeader(overdueSince, now);
         } else {
-            deleteMachinesOf(overdue);
+            deleteMachinesOf(cancelledTasks.jobsWithMachinesSince(overdueSince));
         }
     }
 
+    /**
+     * Asks the leader what is left, for some time before it is overdue. A leader that does not
+     * answer has not recovered the state of earlier leaders, or does not know of the cancellation.
+     */
+    private void leaveToLeader(double overdueSince, double now) {
+        double answerTimeoutSeconds = timeouts.leaderLeaseSeconds();
+        cancelledTasks
+                .jobsWithMachinesSince(overdueSince + answerTimeoutSeconds)
+                .forEach(peers::queryCancelledTasks);
+        List<String> unanswered =
+                cancelledTasks.jobsWithMachinesSince(overdueSince).stream()
+                        .filter(
+                                job ->
+                                        !cancelledTasks.isConfirmedSince(
+                                                job, now - answerTimeoutSeconds))
+                        .toList();
+        deleteMachinesOf(unanswered);
+        cancelledTasks.jobsWithMachinesSince(now - rememberSeconds).forEach(cancelledTasks::forget);
+    }
+
     /** Tells the other controllers where tasks have ended since the last check. */
     private void updateAsLeader() {
         cancelledTasks.jobsWithMachinesSince(Double.POSITIVE_INFINITY).stream()
--- a/src/main/java/org/springmill/control/cancellation/CancelledTasks.java
+++ b/src/main/java/org/springmill/control/cancellation/CancelledTasks.java
@@ -17,6 +17,7 @@
     private static final class Entry {
         private final Set<String> machines = new TreeSet<>();
         private double knownSince;
+        private double confirmedAt;
 
         Entry(double knownSince) {
             this.knownSince = knownSince;
@@ -33,6 +34,7 @@
         Entry entry = entriesByJob.computeIfAbsent(job, id -> new Entry(now));
         entry.machines.clear();
         entry.machines.addAll(machines);
+        entry.confirmedAt = now;
     }
 
     /** Adds machines of a job. */
@@ -40,6 +42,11 @@
         entriesByJob.computeIfAbsent(job, id -> new Entry(now)).machines.addAll(machines);
     }
 
+    /** Whether the machines of a job that is known here were set since a time. */
+    boolean isConfirmedSince(String job, double time) {
+        return entriesByJob.get(job).confirmedAt >= time;
+    }
+
     /** Records that a job that is known here was cancelled at a time or before. */
     void cancelledBy(String job, double time) {
         Entry entry = entriesByJob.get(job);
--- a/src/main/java/org/springmill/control/cancellation/LeaderKnowledge.java
+++ b/src/main/java/org/springmill/control/cancellation/LeaderKnowledge.java
@@ -6,6 +6,9 @@
 
 /** What this controller knows as the leader. */
 public interface LeaderKnowledge {
+    /** Whether this controller leads and has read the state of earlier leaders. */
+    boolean isComplete();
+
     /**
      * The machines on which tasks of a cancelled job may still be.
      *
--- a/src/main/java/org/springmill/control/controller/Controller.java
+++ b/src/main/java/org/springmill/control/controller/Controller.java
@@ -144,14 +144,7 @@
         leaderFactory = new LeaderFactory(services);
         cancellationEnforcement =
                 new CancellationEnforcement(
-                        new KnowledgeOfTerm(),
-                        () -> leader.isPresent() && leadership.mayRespondToWorkers(),
-                        store,
-                        peers,
-                        http,
-                        loop,
-                        settings,
-                        timeouts);
+                        new KnowledgeOfTerm(), store, peers, http, loop, settings, timeouts);
         readiness = new Readiness(directory, catalog, peers, store, loop, timeouts);
         router =
                 new RequestRouter(
@@ -320,6 +313,11 @@
 
     /** What this controller knows of tasks during a term of leadership. */
     private final class KnowledgeOfTerm implements LeaderKnowledge {
+        @Override
+        public boolean isComplete() {
+            return leader.filter(Leader::knowsAllTasks).isPresent();
+        }
+
         @Override
         public Optional<List<String>> machinesOfCancelled(String job) {
             return leader.flatMap(current -> current.machinesOfCancelled(job));
--- a/src/main/java/org/springmill/control/controller/Leader.java
+++ b/src/main/java/org/springmill/control/controller/Leader.java
@@ -230,7 +230,8 @@
         return new PendingCancellation(cancelled.id(), ageSeconds + maxClockErrorSeconds);
     }
 
-    private boolean knowsAllTasks() {
+    /** Whether this leader may act and has recovered what earlier leaders committed. */
+    boolean knowsAllTasks() {
         return lifecycle.isActive() && services.leadership().mayRespondToWorkers();
     }
 
--- a/src/test/java/org/springmill/control/simulation/PartitionedZoneCancellationTest.java
+++ b/src/test/java/org/springmill/control/simulation/PartitionedZoneCancellationTest.java
@@ -10,6 +10,7 @@
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.CsvSource;
+import org.junit.jupiter.params.provider.ValueSource;
 import org.springmill.sim.SimWorker;
 
 /**
@@ -241,6 +242,33 @@
         endFailuresAndExpectRecovery();
     }
 
+    /**
+     * Guards against ran_cancelled: the outage pauses for so short a time that a leader is elected
+     * outside, but does not recover the state.
+     *
+     * @param othersCrash whether the other controller outside, which remembers, crashes too
+     */
+    @ParameterizedTest
+    @ValueSource(booleans = {false, true})
+    void cancelledTasksEndWhileALeaderCannotRecover(boolean othersCrash) {
+        partition(true);
+        cluster.run(CANCELLATION_AFTER_PARTITION_SECONDS);
+        assertEquals("cancelled", cluster.cancel(confirmer, JOB));
+        cluster.keyValueStore().setDown(true);
+        cluster.run(5);
+        cluster.keyValueStore().refuseRequests((from, request) -> request.path().contains("round"));
+        cluster.keyValueStore().setDown(false);
+        cluster.run(5);
+        assertNotEquals(leader, cluster.leader());
+        cluster.keyValueStore().setDown(true);
+        if (othersCrash) {
+            crash(cluster.leader() == confirmer ? third : confirmer, 1, 6);
+        }
+        cluster.run(OUTAGE_SECONDS - 5);
+        cluster.keyValueStore().refuseRequests(0);
+        endFailuresAndExpectRecovery();
+    }
+
     private void crash(int controller, double inSeconds, double downSeconds) {
         cluster.clock().after(inSeconds, () -> cluster.kill(controller));
         cluster.clock().after(inSeconds + downSeconds, () -> cluster.restart(controller));
