--- a/src/test/java/org/springmill/control/simulation/PartitionedZoneDaysTest.java
+++ b/src/test/java/org/springmill/control/simulation/PartitionedZoneDaysTest.java
@@ -1,6 +1,5 @@
 package org.springmill.control.simulation;
 
-import java.util.ArrayList;
 import java.util.List;
 import java.util.SplittableRandom;
 import org.junit.jupiter.params.ParameterizedTest;
@@ -14,7 +13,7 @@
  * committed transactions arrive. A longer run by hand: {@code mvn test
  * -Dtest=PartitionedZoneDaysTest -Dspringmill.days=1000 -Dspringmill.firstSeed=5000}.
  */
-class PartitionedZoneDaysTest extends ClusterFixture {
+class PartitionedZoneDaysTest extends DrawnDaysFixture {
     private static final int STEPS = 24;
     private static final int COPIES_PER_STEP = 20;
     private static final double MAX_STEP_SECONDS = 14;
@@ -30,13 +29,9 @@
 
     private static final double LONG_DOWN_SECONDS = 7;
 
-    private static final int SHORT_JOBS_PER_STEP = 8;
     private static final double RECOVERY_SECONDS = 120;
     private static final int NONE = -1;
 
-    private final List<String> liveJobs = new ArrayList<>();
-    private SplittableRandom random;
-    private int submitted;
     private int inZone = NONE;
     private int outages;
     private boolean isOutage;
@@ -118,12 +113,9 @@
         }
     }
 
-    private void runShortJobs() {
-        for (int job = 0; job < SHORT_JOBS_PER_STEP && !isOutage; job++) {
-            String id = String.format("run-%06d", ++submitted);
-            cluster.submit(reachable(), SimulatedCluster.job(id, "red", "sweep", 1, 1, 0), 0.5);
-            cluster.run(1);
-        }
+    @Override
+    boolean mayRunShortJobs() {
+        return !isOutage;
     }
 
     private void healZone() {
@@ -175,28 +167,18 @@
         }
     }
 
-    private void crash(int controller, double downSeconds) {
-        cluster.kill(controller);
-        cluster.clock().after(downSeconds, () -> startAgain(controller));
-    }
-
-    private void startAgain(int controller) {
-        if (!cluster.isUp(controller)) {
-            cluster.restart(controller);
-        }
-    }
-
     /** A controller that users reach. */
-    private int reachable() {
+    @Override
+    int drawController() {
         int controller = random.nextInt(CONTROLLERS);
         return controller == inZone ? (controller + 1) % CONTROLLERS : controller;
     }
 
     private void submit() {
-        String id = String.format("run-%06d", ++submitted);
+        String id = nextId();
         int replicas = 1 + random.nextInt(4);
         if (cluster.submit(
-                        reachable(),
+                        drawController(),
                         SimulatedCluster.job(id, "blue", "service", replicas, 1, 3),
                         FOREVER)
                 == 201) {
@@ -204,12 +186,6 @@
         }
     }
 
-    private void cancel() {
-        if (!liveJobs.isEmpty()) {
-            cluster.cancel(reachable(), liveJobs.remove(random.nextInt(liveJobs.size())));
-        }
-    }
-
     private void repeatTransactions() {
         List<Request> committed = cluster.keyValueStore().committedTransactions();
         for (int copy = 0; copy < COPIES_PER_STEP && !isOutage; copy++) {
--- a/src/test/java/org/springmill/control/simulation/RefusedRequestDaysTest.java
+++ b/src/test/java/org/springmill/control/simulation/RefusedRequestDaysTest.java
@@ -24,7 +24,7 @@
  * Recalls are on or off. A longer run by hand: {@code mvn test -Dtest=RefusedRequestDaysTest
  * -Dspringmill.days=1000 -Dspringmill.firstSeed=5000}.
  */
-class RefusedRequestDaysTest extends ClusterFixture {
+class RefusedRequestDaysTest extends DrawnDaysFixture {
     private static final int STEPS = 24;
     private static final int STEPS_PER_REFUSED_RECOVERY = 4;
     private static final double MAX_STEP_SECONDS = 10;
@@ -34,17 +34,11 @@
     private static final double MAX_ELECTION_SECONDS = 1.5;
     private static final double MAX_DOWN_SECONDS = 8;
     private static final int SERVICES_AT_ONCE = 12;
-    private static final int SHORT_JOBS_PER_STEP = 8;
     private static final double RECOVERY_SECONDS = 120;
 
-    private final List<String> liveJobs = new ArrayList<>();
-
     /** The tasks of all services that were accepted. */
     private final List<String> services = new ArrayList<>();
 
-    private SplittableRandom random;
-    private int submitted;
-
     /** What happens at the beginning of a step. */
     private enum Event {
         REFUSE_REQUESTS,
@@ -104,9 +98,9 @@
     private void apply(Event event) {
         switch (event) {
             case REFUSE_REQUESTS -> refuseRequests();
-            case CRASH_LEADER -> crash(cluster.leader());
+            case CRASH_LEADER -> crashIfUp(cluster.leader());
             case REFUSE_THE_NEXT_LEADER -> refuseTheNextLeader();
-            case CRASH_ANY -> crash(random.nextInt(CONTROLLERS));
+            case CRASH_ANY -> crashIfUp(drawController());
             case HANG -> hangMachine();
             case SERVICES -> submitServices();
             case SHORT_JOBS -> runShortJobs();
@@ -124,22 +118,14 @@
 
     /** Refusals that begin while the next leader is elected or recovers. */
     private void refuseTheNextLeader() {
-        crash(cluster.leader());
+        crashIfUp(cluster.leader());
         cluster.run(random.nextDouble() * MAX_ELECTION_SECONDS);
         refuseRequests();
     }
 
-    private void crash(int controller) {
-        if (controller < 0 || !cluster.isUp(controller)) {
-            return;
-        }
-        cluster.kill(controller);
-        cluster.clock().after(random.nextDouble() * MAX_DOWN_SECONDS, () -> startAgain(controller));
-    }
-
-    private void startAgain(int controller) {
-        if (!cluster.isUp(controller)) {
-            cluster.restart(controller);
+    private void crashIfUp(int controller) {
+        if (controller >= 0 && cluster.isUp(controller)) {
+            crash(controller, random.nextDouble() * MAX_DOWN_SECONDS);
         }
     }
 
@@ -153,34 +139,15 @@
         cluster.clock().after(random.nextDouble() * MAX_HANG_SECONDS, () -> machine.setHung(false));
     }
 
-    private String nextId() {
-        return String.format("run-%06d", ++submitted);
-    }
-
     private void submitServices() {
         int number = 1 + random.nextInt(SERVICES_AT_ONCE);
         for (int service = 0; service < number; service++) {
             String id = nextId();
             var job = SimulatedCluster.job(id, "blue", "service", 1, 1, random.nextInt(2));
-            if (cluster.submit(random.nextInt(CONTROLLERS), job, FOREVER) == 201) {
+            if (cluster.submit(drawController(), job, FOREVER) == 201) {
                 liveJobs.add(id);
                 services.add(id + "/0");
             }
         }
     }
-
-    private void runShortJobs() {
-        for (int job = 0; job < SHORT_JOBS_PER_STEP; job++) {
-            var spec = SimulatedCluster.job(nextId(), "red", "sweep", 1, 1, 0);
-            cluster.submit(random.nextInt(CONTROLLERS), spec, 0.5);
-            cluster.run(1);
-        }
-    }
-
-    private void cancel() {
-        if (!liveJobs.isEmpty()) {
-            String id = liveJobs.remove(random.nextInt(liveJobs.size()));
-            cluster.cancel(random.nextInt(CONTROLLERS), id);
-        }
-    }
 }
