Queries for cancelled tasks keep to half of what a link queues

Cause: a controller that catches up, or asks a leader for overdue tasks, sent one record a job at once; a link that has more than 16 waiting is dropped. Change: at most 8 jobs a check, those first that were not confirmed lately.

--- a/src/main/java/org/springmill/control/cancellation/CancellationCatchUp.java
+++ b/src/main/java/org/springmill/control/cancellation/CancellationCatchUp.java
@@ -1,5 +1,6 @@
 package org.springmill.control.cancellation;
 
+import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.HashSet;
 import java.util.List;
@@ -112,16 +113,18 @@
      * are unknown here; they are asked for.
      */
     void responseReceived(CatchUpResponse message) {
-        boolean knowsAll = true;
+        List<String> unknown = new ArrayList<>();
         for (PendingCancellation pending : message.pending()) {
             if (cancelledTasks.knows(pending.job())) {
                 cancelledTasks.cancelledBy(pending.job(), loop.now() - pending.ageSeconds());
             } else {
-                knowsAll = false;
-                peers.queryCancelledTasks(pending.job());
+                unknown.add(pending.job());
             }
         }
-        if (knowsAll && hasRecentlyStarted()) {
+        unknown.stream()
+                .limit(CancelledTaskDeletion.MAX_RECORDS_PER_CHECK)
+                .forEach(peers::queryCancelledTasks);
+        if (unknown.isEmpty() && hasRecentlyStarted()) {
             caughtUpAt = loop.now();
             LOG.info(
                     "cancellations from before the start are known from {}: tasks of {} jobs may"
--- a/src/main/java/org/springmill/control/cancellation/CancelledTaskDeletion.java
+++ b/src/main/java/org/springmill/control/cancellation/CancelledTaskDeletion.java
@@ -19,7 +19,7 @@
     private static final Logger LOG = LoggerFactory.getLogger(CancelledTaskDeletion.class);
 
     /** Half of what the link to a controller queues. */
-    private static final int MAX_UPDATES_PER_CHECK = 8;
+    static final int MAX_RECORDS_PER_CHECK = 8;
 
     private final CancelledTasks cancelledTasks;
     private final LeaderKnowledge leaderKnowledge;
@@ -71,8 +71,12 @@
      */
     private void leaveToLeader(double overdueSince, double now) {
         double answerTimeoutSeconds = timeouts.leaderLeaseSeconds();
-        cancelledTasks
-                .jobsWithMachinesSince(overdueSince + answerTimeoutSeconds)
+        cancelledTasks.jobsWithMachinesSince(overdueSince + answerTimeoutSeconds).stream()
+                .filter(
+                        job ->
+                                !cancelledTasks.isConfirmedSince(
+                                        job, now - answerTimeoutSeconds / 2))
+                .limit(MAX_RECORDS_PER_CHECK)
                 .forEach(peers::queryCancelledTasks);
         List<String> unanswered =
                 cancelledTasks.jobsWithMachinesSince(overdueSince).stream()
@@ -89,7 +93,7 @@
     private void updateAsLeader() {
         cancelledTasks.jobsWithMachinesSince(Double.POSITIVE_INFINITY).stream()
                 .filter(this::hasChanged)
-                .limit(MAX_UPDATES_PER_CHECK)
+                .limit(MAX_RECORDS_PER_CHECK)
                 .toList()
                 .forEach(this::updateAsLeader);
     }
