A worker's new process is noticed; a copied start does nothing on it

Tests show that it can happen here.

Cause: a claim about one process was taken for a claim about a machine. A token only rises, and sessions only grow, within one process of a worker. The leader took its heartbeats for late copies and answered 503, for as long as the old lease lasted.

Change: the leader notices a new process by the order of answers to its own requests, by a token that it raised in a heartbeat that looks old, by a token that fell, or by tasks that are gone (design.md, section 5.3, claim 5.4). It asks at once when a heartbeat looks old, and answers one without a token with the raised one. Controllers that do not lead send a worker without a token on. SimWorker can be replaced, and a machine of the emulator that is back knows nothing.

Why it holds: from the noticing on only messages count that show a token which the earlier process never saw.

--- a/src/main/java/org/springmill/control/controller/LeaderFactory.java
+++ b/src/main/java/org/springmill/control/controller/LeaderFactory.java
@@ -9,7 +9,6 @@
 import org.springmill.control.cluster.ClusterState;
 import org.springmill.control.cluster.DependencyPriority;
 import org.springmill.control.cluster.Fleet;
-import org.springmill.control.cluster.HeartbeatSource;
 import org.springmill.control.cluster.Job;
 import org.springmill.control.history.HistoryArchiver;
 import org.springmill.control.history.HistoryMembership;
@@ -70,9 +69,7 @@
                         fleet,
                         services.http(),
                         timeouts,
-                        (machine, heartbeat) ->
-                                reconciliation.accept(
-                                        machine, heartbeat, HeartbeatSource.COMMAND_RESPONSE),
+                        reconciliation::acceptAnswer,
                         leadership::mayRespondToWorkers);
         HeartbeatHandler heartbeatHandler =
                 new HeartbeatHandler(
--- a/src/main/java/org/springmill/control/leadership/LeaseKeepalive.java
+++ b/src/main/java/org/springmill/control/leadership/LeaseKeepalive.java
@@ -69,6 +69,9 @@
      * @param holdsTerm whether this controller was elected and does not know a later term
      */
     public boolean mayRenewLease(Heartbeat heartbeat, boolean holdsTerm) {
+        if (hasObeyedNobody(heartbeat)) {
+            return false;
+        }
         boolean isolated = !store.isReachable() && isIsolated();
         if (isolated) {
             workerZones.add(heartbeat.zone());
@@ -85,6 +88,14 @@
         return mayRenew;
     }
 
+    /**
+     * Whether a worker has no tasks, since it has taken neither command nor answer. Until a leader
+     * gives it a token it would obey a late copy of any command, so it is sent to the leader.
+     */
+    private static boolean hasObeyedNobody(Heartbeat heartbeat) {
+        return heartbeat.fencingToken() == 0;
+    }
+
     /** Why no leader can treat the worker's lease as expired; empty if one may. */
     private Optional<RenewalGround> ground(
             Heartbeat heartbeat, boolean holdsTerm, boolean isolated) {
--- a/src/main/java/org/springmill/control/metrics/Metrics.java
+++ b/src/main/java/org/springmill/control/metrics/Metrics.java
@@ -57,6 +57,7 @@
     private final Counter attemptsLost;
     private final Counter leasesExpired;
     private final Counter renewalsOverdue;
+    private final Counter workerRestarts;
     private final Counter recordsMoved;
     private final Counter jobsSuspected;
     private final Counter recallsCommitted;
@@ -78,6 +79,7 @@
         attemptsLost = counter("attempts_lost");
         leasesExpired = counter("worker_leases_expired");
         renewalsOverdue = counter("worker_renewals_overdue");
+        workerRestarts = counter("worker_restarts");
         recordsMoved = counter("job_records_moved");
         jobsSuspected = counter("jobs_suspected");
         recallsCommitted = counter("recalls_committed");
@@ -136,6 +138,11 @@
         renewalsOverdue.increment();
     }
 
+    /** Records that a worker's process was found to have been replaced by another one. */
+    public void recordWorkerRestart() {
+        workerRestarts.increment();
+    }
+
     /** Records that a job became suspect, since its tasks fail on several machines. */
     public void recordSuspectJob() {
         jobsSuspected.increment();
--- a/src/main/java/org/springmill/control/workers/CommandDispatcher.java
+++ b/src/main/java/org/springmill/control/workers/CommandDispatcher.java
@@ -6,6 +6,7 @@
 import org.slf4j.LoggerFactory;
 import org.springmill.control.cluster.Fleet;
 import org.springmill.control.cluster.Machine;
+import org.springmill.control.cluster.MessagePosition;
 import org.springmill.control.timing.Timeouts;
 import org.springmill.protocol.MalformedMessageException;
 import org.springmill.protocol.WorkerMessages;
@@ -52,8 +53,13 @@
 
     /** Receives the heartbeats that workers send in response to commands. */
     public interface HeartbeatConsumer {
-        /** Handles the heartbeat with which a machine's worker responded to a request. */
-        void accept(Machine machine, Heartbeat heartbeat);
+        /**
+         * Handles the heartbeat with which a machine's worker responded to a request.
+         *
+         * @param latestBefore the place of the newest message that had arrived from the worker when
+         *     the request was sent
+         */
+        void accept(Machine machine, Heartbeat heartbeat, MessagePosition latestBefore);
     }
 
     private final Fleet fleet;
@@ -112,13 +118,57 @@
         send(machine, commands, isProbe);
     }
 
+    /**
+     * Asks a worker whether its process has been replaced, by a request without commands, beside
+     * one that may be in flight: the process that got that one may never answer. The request raises
+     * the token, so that a new process refuses copies of all earlier commands, and its next
+     * heartbeat shows the same as the answer.
+     *
+     * @param epoch of the heartbeat that may be of a new process
+     */
+    void checkProcess(Machine machine, long epoch) {
+        boolean mayCheck =
+                !closed
+                        && !machine.address().isEmpty()
+                        && machine.commandChannel()
+                                .beginProcessCheck(fleet.now(), resendIntervalSeconds);
+        if (mayCheck) {
+            machine.workerEpoch().challenge();
+            post(machine, epoch, List.of(), this::handleProcessCheck);
+        }
+    }
+
+    private void handleProcessCheck(Machine machine, Reply response, MessagePosition latestBefore) {
+        if (!closed && isAnswer(response)) {
+            acceptHeartbeat(machine, response, latestBefore);
+            requestSend(machine);
+        }
+    }
+
     private void send(Machine machine, List<Command> commands, boolean isProbe) {
         machine.commandChannel().requestSent();
         probesInFlight += isProbe ? 1 : 0;
         // A worker that has sent no heartbeat yet is most likely in its first epoch. If not, it
         // responds with a conflict that carries its epoch.
-        long epoch = Math.max(FIRST_EPOCH, machine.epoch());
+        post(
+                machine,
+                Math.max(FIRST_EPOCH, machine.epoch()),
+                commands,
+                (sentTo, response, latestBefore) -> {
+                    probesInFlight -= isProbe ? 1 : 0;
+                    handleResponse(sentTo, response, latestBefore);
+                });
+    }
+
+    /** Receives the response to a request with commands. */
+    private interface ResponseHandler {
+        void handle(Machine machine, Reply response, MessagePosition latestBefore);
+    }
+
+    private void post(
+            Machine machine, long epoch, List<Command> commands, ResponseHandler handler) {
         byte[] body = WorkerMessages.encodeCommands(machine.fencingToken(), epoch, commands);
+        MessagePosition latestBefore = machine.workerEpoch().latestPosition();
         LOG.debug(
                 "sending worker {} the commands {} with fencing token {} to epoch {}",
                 machine.name(),
@@ -132,10 +182,7 @@
                         WorkerMessages.COMMANDS_PATH,
                         body,
                         timeouts.commandTimeoutSeconds()),
-                response -> {
-                    probesInFlight -= isProbe ? 1 : 0;
-                    handleResponse(machine, response);
-                });
+                response -> handler.handle(machine, response, latestBefore));
     }
 
     private int maxConcurrentProbes() {
@@ -151,23 +198,28 @@
                 && !machine.address().isEmpty();
     }
 
-    private void handleResponse(Machine machine, Reply response) {
+    private void handleResponse(Machine machine, Reply response, MessagePosition latestBefore) {
         machine.commandChannel().requestEnded();
         if (closed) {
             return;
         }
-        if (response.status() != OK && response.status() != CONFLICT) {
+        if (!isAnswer(response)) {
             handleFailure(machine, response.status());
             return;
         }
         machine.commandsSucceeded();
-        acceptHeartbeat(machine, response);
+        acceptHeartbeat(machine, response, latestBefore);
         if (response.status() == CONFLICT) {
             pause(machine, resendIntervalSeconds / CONFLICT_PAUSE_DIVISOR);
         }
         requestSend(machine);
     }
 
+    /** Whether the worker has answered, with its status. */
+    private static boolean isAnswer(Reply response) {
+        return response.status() == OK || response.status() == CONFLICT;
+    }
+
     private void handleFailure(Machine machine, int status) {
         LOG.debug("command request to worker {} failed with status {}", machine.name(), status);
         machine.commandsFailed();
@@ -179,11 +231,11 @@
         machine.commandChannel().pauseUntil(fleet.now() + seconds);
     }
 
-    private void acceptHeartbeat(Machine machine, Reply response) {
+    private void acceptHeartbeat(Machine machine, Reply response, MessagePosition latestBefore) {
         try {
             Heartbeat heartbeat = WorkerMessages.decodeHeartbeat(response.body());
             if (heartbeat.machine().equals(machine.name())) {
-                heartbeats.accept(machine, heartbeat);
+                heartbeats.accept(machine, heartbeat, latestBefore);
             }
         } catch (MalformedMessageException e) {
             LOG.warn(
--- a/src/main/java/org/springmill/control/workers/HeartbeatHandler.java
+++ b/src/main/java/org/springmill/control/workers/HeartbeatHandler.java
@@ -2,7 +2,6 @@
 
 import java.util.List;
 import org.springmill.control.cluster.Fleet;
-import org.springmill.control.cluster.HeartbeatSource;
 import org.springmill.control.cluster.Machine;
 import org.springmill.control.jobs.JobDirectory;
 import org.springmill.control.timing.Timeouts;
@@ -18,6 +17,9 @@
     private static final int MISDIRECTED = 421;
     private static final int UNAVAILABLE = 503;
 
+    /** Time between answers to heartbeats without a token that may be duplicates, in leases. */
+    private static final double TOKEN_ANSWER_INTERVAL_LEASES = 2;
+
     private final Fleet fleet;
     private final Reconciliation reconciliation;
     private final CommandDispatcher dispatcher;
@@ -72,14 +74,16 @@
             return;
         }
         Machine machine = fleet.getOrAdd(heartbeat);
-        if (!machine.workerEpoch().isLatestHeartbeat(heartbeat)) {
-            // A delayed duplicate: the worker no longer waits for this response, so it must not
-            // count as a renewal.
-            refuse(call, UNAVAILABLE);
+        boolean isOfNewProcess = reconciliation.noticesRestart(machine, heartbeat);
+        if (!isOfNewProcess && !machine.workerEpoch().isLatestHeartbeat(heartbeat)) {
+            respondToEarlier(call, machine, heartbeat);
             return;
         }
+        if (machine.workerEpoch().hasLostToken(heartbeat)) {
+            dispatcher.checkProcess(machine, heartbeat.epoch());
+        }
         if (term.isActive()) {
-            reconciliation.accept(machine, heartbeat, HeartbeatSource.HEARTBEAT);
+            reconciliation.acceptHeartbeat(machine, heartbeat);
         }
         // A heartbeat that shows a later term ends this one.
         if (term.isClosed()) {
@@ -92,15 +96,36 @@
         }
     }
 
+    /**
+     * Answers a heartbeat that is not the latest. Either it is a delayed duplicate: the worker no
+     * longer waits for the response, so it must not count as a renewal. Or the worker has a new
+     * process, which a request shows. A new process without a token would obey late copies of any
+     * command, so it gets one at once. That counts as a renewal, and is done so seldom that the
+     * lease of a machine that is gone expires all the same.
+     */
+    private void respondToEarlier(Call call, Machine machine, Heartbeat heartbeat) {
+        double intervalSeconds = TOKEN_ANSWER_INTERVAL_LEASES * timeouts.workerLeaseSeconds();
+        dispatcher.checkProcess(machine, heartbeat.epoch());
+        if (heartbeat.fencingToken() == 0
+                && machine.commandChannel().beginTokenAnswer(loop.now(), intervalSeconds)) {
+            answer(call, machine, List.of());
+        } else {
+            refuse(call, UNAVAILABLE);
+        }
+    }
+
     private static void refuse(Call call, int status) {
         call.reply(status, WorkerMessages.encodeRedirect(null), 0);
     }
 
     private void renewLease(Call call, Machine machine, Heartbeat heartbeat) {
         machine.workerEpoch().recordHeartbeat(heartbeat);
-        machine.liveness().heartbeatAnswered(loop.now(), timeouts.workerLeaseSeconds());
         // The commands may raise the fencing token, so they are derived before it is read.
-        List<Command> commands = commandsFor(machine, heartbeat);
+        answer(call, machine, commandsFor(machine, heartbeat));
+    }
+
+    private void answer(Call call, Machine machine, List<Command> commands) {
+        machine.liveness().heartbeatAnswered(loop.now(), timeouts.workerLeaseSeconds());
         byte[] response = WorkerMessages.encodeHeartbeatResponse(machine.fencingToken(), commands);
         call.reply(OK, response, 0);
     }
--- a/src/main/java/org/springmill/control/workers/Reconciliation.java
+++ b/src/main/java/org/springmill/control/workers/Reconciliation.java
@@ -7,6 +7,7 @@
 import org.springmill.control.cluster.Fleet;
 import org.springmill.control.cluster.HeartbeatSource;
 import org.springmill.control.cluster.Machine;
+import org.springmill.control.cluster.MessagePosition;
 import org.springmill.control.cluster.TaskAttempt;
 import org.springmill.control.cluster.WorkerEpoch;
 import org.springmill.control.membership.Peers;
@@ -29,6 +30,8 @@
  *   <li>claim 6.3, an expired lease: {@link WorkerLeases} and {@link LeaseExpiry};
  *   <li>claim 6.4, a deleted machine: decided by the autoscaling package.
  * </ul>
+ *
+ * <p>The first three hold for one process of a worker; {@link WorkerRestarts} notices another one.
  */
 public final class Reconciliation {
     private static final Logger LOG = LoggerFactory.getLogger(Reconciliation.class);
@@ -45,6 +48,7 @@
     private final Timeouts timeouts;
     private final Peers peers;
     private final LeaseExpiry leaseExpiry;
+    private final WorkerRestarts restarts;
     private final TaskStatusHandler taskStatusHandler;
     private final Runnable onChange;
     private final Consumer<String> onLaterTerm;
@@ -55,7 +59,7 @@
      * @param fleet the machines and attempts of this term
      * @param timeouts the duration of leases and the timeout of confirmations
      * @param peers provides the time until which other controllers may renew leases
-     * @param metrics counts starts, lost attempts and suspect jobs
+     * @param metrics counts starts, lost attempts, suspect jobs and restarts of workers
      * @param onChange called when a placement round may have something to do
      * @param onLaterTerm called with a reason when a worker has seen a fencing token of a later
      *     term
@@ -72,17 +76,46 @@
         this.peers = peers;
         WorkerLeases leases = new WorkerLeases(fleet, timeouts, peers);
         leaseExpiry = new LeaseExpiry(fleet, leases, metrics, onChange);
+        restarts = new WorkerRestarts(fleet, metrics);
         this.taskStatusHandler = new TaskStatusHandler(fleet, timeouts, metrics);
         this.onChange = onChange;
         this.onLaterTerm = onLaterTerm;
     }
 
-    /** Reconciles a worker's status. Ignores it if it is not newer than all before. */
-    public void accept(Machine machine, Heartbeat heartbeat, HeartbeatSource source) {
-        if (WorkerEpoch.termOf(heartbeat.fencingToken()) > fleet.term()) {
+    /** Reconciles a heartbeat. Ignores it if it is not newer than all before. */
+    public void acceptHeartbeat(Machine machine, Heartbeat heartbeat) {
+        if (!showsLaterTerm(machine, heartbeat)) {
+            accept(machine, heartbeat, HeartbeatSource.HEARTBEAT);
+        }
+    }
+
+    /**
+     * Reconciles the status with which a worker answered a request.
+     *
+     * @param latestBefore the place of the newest message that had arrived from the worker when the
+     *     request was sent
+     */
+    public void acceptAnswer(Machine machine, Heartbeat answer, MessagePosition latestBefore) {
+        if (!showsLaterTerm(machine, answer)
+                && !restarts.isNoticed(machine, answer, latestBefore)) {
+            accept(machine, answer, HeartbeatSource.COMMAND_RESPONSE);
+        }
+    }
+
+    /** Whether a heartbeat shows that the worker's process has been replaced by another one. */
+    public boolean noticesRestart(Machine machine, Heartbeat heartbeat) {
+        return restarts.isNoticed(machine, heartbeat);
+    }
+
+    private boolean showsLaterTerm(Machine machine, Heartbeat heartbeat) {
+        boolean isLaterTerm = WorkerEpoch.termOf(heartbeat.fencingToken()) > fleet.term();
+        if (isLaterTerm) {
             onLaterTerm.accept(machine.name() + " has seen a later term");
-            return;
         }
+        return isLaterTerm;
+    }
+
+    private void accept(Machine machine, Heartbeat heartbeat, HeartbeatSource source) {
         if (!machine.workerEpoch().isNewerThanSeen(heartbeat)) {
             return;
         }
@@ -93,6 +126,7 @@
         markUp(machine, heartbeat, source, now);
         Set<TaskAttempt> reported = taskStatusHandler.apply(machine, heartbeat, now);
         endAttemptsProvenGone(machine, heartbeat, reported);
+        restarts.settleMissing(machine, heartbeat, reported);
         if (machine.hasPreemptionNotice()) {
             evacuate(machine);
         }
--- a/src/main/java/org/springmill/emulator/EmulatedWorker.java
+++ b/src/main/java/org/springmill/emulator/EmulatedWorker.java
@@ -32,6 +32,7 @@
     private static final double HEARTBEAT_JITTER = 0.25;
     private static final double MIN_LEASE_CHECK_SECONDS = 0.02;
     private static final int SOCKETS = 2;
+    private static final long FIRST_EPOCH = 1;
 
     private final String name;
     private final String address;
@@ -43,7 +44,11 @@
     private final SplittableRandom random;
     private final EmulatedTasks tasks;
     private int controller;
-    private long epoch = 1;
+
+    /** Worker processes so far; responses to earlier ones are lost with their connections. */
+    private int processes = 1;
+
+    private long epoch = FIRST_EPOCH;
     private long sequence;
     private long fencingToken;
     private double leaseRenewedAt;
@@ -133,12 +138,19 @@
                 random.nextDouble() * environment.scenario().workers().reportSeconds(), this::tick);
     }
 
-    /** The machine fails with all of its tasks, or restarts without tasks. */
+    /**
+     * The machine fails with all of its tasks, or restarts without tasks and with a worker process
+     * that knows nothing of the one before it.
+     */
     void setFailed(boolean nowFailed) {
         if (nowFailed) {
             tasks.killAll();
         } else if (failed) {
-            epoch++;
+            processes++;
+            heartbeatInFlight = false;
+            epoch = FIRST_EPOCH;
+            sequence = 0;
+            fencingToken = 0;
             leaseRenewedAt = loop.now();
             tasks.clearImageCache();
         }
@@ -238,7 +250,14 @@
         Request request =
                 new Request(
                         to, "POST", WorkerMessages.HEARTBEAT_PATH, body, HEARTBEAT_TIMEOUT_SECONDS);
-        client.send(request, reply -> responseReceived(reply, sentAt, sentEpoch, body.length));
+        int sentBy = processes;
+        client.send(
+                request,
+                reply -> {
+                    if (sentBy == processes) {
+                        responseReceived(reply, sentAt, sentEpoch, body.length);
+                    }
+                });
     }
 
     private void responseReceived(Reply reply, double sentAt, long sentEpoch, int bytes) {
--- a/src/test/java/org/springmill/control/metrics/MetricsTest.java
+++ b/src/test/java/org/springmill/control/metrics/MetricsTest.java
@@ -29,6 +29,7 @@
                     "springmill_attempts_lost_total",
                     "springmill_worker_leases_expired_total",
                     "springmill_worker_renewals_overdue_total",
+                    "springmill_worker_restarts_total",
                     "springmill_recalls_committed_total",
                     "springmill_recalls_fulfilled_total",
                     "springmill_recalls_taken_back_total",
--- a/src/test/java/org/springmill/sim/SimNetwork.java
+++ b/src/test/java/org/springmill/sim/SimNetwork.java
@@ -6,6 +6,7 @@
 import java.util.Set;
 import java.util.SplittableRandom;
 import java.util.function.Consumer;
+import java.util.function.Predicate;
 import org.springmill.transport.HttpClient.Reply;
 import org.springmill.transport.HttpClient.Request;
 
@@ -49,6 +50,9 @@
     private Delays responseDelays = (from, request) -> 0;
     private SplittableRandom random;
     private double duplicatedHeartbeatShare;
+    private Predicate<Request> isCommandCopied = request -> false;
+    private double maxCommandCopyDelaySeconds;
+    private Predicate<Request> commandCopyRule = request -> true;
     private int refusedForSize;
 
     private record HeldRequest(String from, Request request) {}
@@ -109,7 +113,22 @@
         duplicatedHeartbeatShare = heartbeatShare;
     }
 
+    /**
+     * Delivers some of the direct commands to machines a second time, up to {@code maxDelaySeconds}
+     * later.
+     *
+     * @param isCopied which commands
+     * @param mayArrive whether the copy is delivered, asked when it would arrive
+     */
+    public void duplicateCommands(
+            Predicate<Request> isCopied, double maxDelaySeconds, Predicate<Request> mayArrive) {
+        isCommandCopied = isCopied;
+        maxCommandCopyDelaySeconds = maxDelaySeconds;
+        commandCopyRule = mayArrive;
+    }
+
     void endFailures() {
+        isCommandCopied = request -> false;
         deliveryRule = (from, request) -> Delivery.DELIVER;
         requestDelays = (from, request) -> 0;
         responseDelays = (from, request) -> 0;
@@ -161,6 +180,7 @@
         }
         cluster.clock().after(request.timeoutSeconds(), () -> completeOnce.accept(Reply.LOST));
         duplicateHeartbeat(from, request);
+        duplicateCommand(request);
         double delaySeconds = DELAY_SECONDS + requestDelays.delaySeconds(from, request);
         switch (delivery) {
             case HOLD -> held.add(new HeldRequest(from, request));
@@ -201,6 +221,21 @@
         }
     }
 
+    private void duplicateCommand(Request request) {
+        if (request.path().equals("/orders") && isCommandCopied.test(request)) {
+            cluster.clock()
+                    .after(
+                            random.nextDouble() * maxCommandCopyDelaySeconds,
+                            () -> deliverCommandCopy(request));
+        }
+    }
+
+    private void deliverCommandCopy(Request request) {
+        if (commandCopyRule.test(request)) {
+            deliverAgain(request);
+        }
+    }
+
     private void deliver(double delaySeconds, String from, Request request, Consumer<Reply> done) {
         cluster.clock().after(delaySeconds, () -> deliver(from, request, done));
     }
--- a/src/test/java/org/springmill/sim/SimWorker.java
+++ b/src/test/java/org/springmill/sim/SimWorker.java
@@ -66,6 +66,13 @@
     private boolean failingAllTasks;
     private boolean ignoringHalts;
 
+    /**
+     * The number of processes that have begun on this machine; replies to earlier ones are lost.
+     */
+    private int processes = 1;
+
+    private double firstReplyAt = Double.POSITIVE_INFINITY;
+
     SimWorker(
             SimulatedCluster cluster,
             String name,
@@ -175,6 +182,56 @@
         ignoringHalts = ignoring;
     }
 
+    /** What a new process knows of the one before it. */
+    public enum Memory {
+        /** It begins as on a machine that has just booted. */
+        NOTHING,
+        /** The highest token that was seen. */
+        TOKEN,
+        /** The session, after which it begins the next one. */
+        SESSION
+    }
+
+    /**
+     * Replaces the worker's process by another one at once, without tasks, and with its first
+     * message to come.
+     *
+     * @param firstHeartbeatSeconds how long after its beginning it sends its first heartbeat
+     */
+    public void restartProcess(Memory memory, double firstHeartbeatSeconds) {
+        if (!up || terminated) {
+            return;
+        }
+        killTasks();
+        processes++;
+        epoch = memory == Memory.SESSION ? epoch + 1 : 1;
+        sequence = 0;
+        token = memory == Memory.TOKEN ? token : 0;
+        renewedAt = cluster.clock().now();
+        firstReplyAt = Double.POSITIVE_INFINITY;
+        heartbeatInFlight = true;
+        int process = processes;
+        cluster.clock()
+                .after(
+                        firstHeartbeatSeconds,
+                        () -> {
+                            if (process == processes) {
+                                heartbeatInFlight = false;
+                                sendHeartbeat();
+                            }
+                        });
+    }
+
+    /** When a controller first replied to the present process; infinite before. */
+    public double firstReplyAt() {
+        return firstReplyAt;
+    }
+
+    /** Whether the present process has obeyed no command and taken no answer yet. */
+    public boolean hasSeenNoToken() {
+        return token == 0;
+    }
+
     void boot() {
         if (!terminated) {
             up = true;
@@ -251,12 +308,19 @@
         long sentEpoch = epoch;
         byte[] body = heartbeatBody().toString().getBytes(java.nio.charset.StandardCharsets.UTF_8);
         int to = controller;
+        int process = processes;
         cluster.network()
                 .send(
                         name,
                         new Request(SimSettings.apiAddress(to), "POST", "/v1/report", body, 4),
                         reply -> {
+                            if (process != processes) {
+                                return;
+                            }
                             heartbeatInFlight = false;
+                            if (reply.status() > 0) {
+                                firstReplyAt = Math.min(firstReplyAt, cluster.clock().now());
+                            }
                             if (terminated || hung) {
                                 return;
                             }
--- a/src/test/java/org/springmill/sim/SimulatedCluster.java
+++ b/src/test/java/org/springmill/sim/SimulatedCluster.java
@@ -169,6 +169,11 @@
         return up;
     }
 
+    /** The machine at an address; empty if there is none now. */
+    public Optional<SimWorker> machineAt(String address) {
+        return Optional.ofNullable(cloud.machineAt(address));
+    }
+
     /** The machines that exist now, in the order in which they were added. */
     public List<SimWorker> machines() {
         return List.copyOf(cloud.machines().values());
