A new machine's tokens begin above those of the one that had its address

A task that had been placed elsewhere after its machine was gone started once more, on a new machine with the same address.

Tokens were counted for each machine by its name, while a command reaches an address and names no machine. A new machine began with the term's first token, or got that of the earlier one with commands meant for it.

Change: the tokens of a machine that becomes known begin above those of all machines that were removed in the term, and above those of an earlier machine with its address, which gets no more commands (MachineAddresses; design.md, section 5). The simulated cloud can give addresses again; WorkerRestartDaysTest draws it.

--- a/src/main/java/org/springmill/control/autoscaling/MachineListing.java
+++ b/src/main/java/org/springmill/control/autoscaling/MachineListing.java
@@ -111,7 +111,11 @@
     }
 
     private void describe(Machine machine, ListedMachine listed) {
-        machine.describe(
-                listed.address(), fleet.catalog().get(listed.type()), listed.zone(), listed.spot());
+        fleet.describe(
+                machine,
+                listed.address(),
+                fleet.catalog().get(listed.type()),
+                listed.zone(),
+                listed.spot());
     }
 }
--- a/src/main/java/org/springmill/control/cluster/Fleet.java
+++ b/src/main/java/org/springmill/control/cluster/Fleet.java
@@ -7,6 +7,7 @@
 import java.util.Map;
 import org.springmill.control.storage.ImageLocations;
 import org.springmill.control.timing.Timeouts;
+import org.springmill.protocol.CloudMessages.MachineType;
 import org.springmill.protocol.Submission;
 import org.springmill.protocol.WorkerMessages.ExitCause;
 import org.springmill.protocol.WorkerMessages.Heartbeat;
@@ -32,6 +33,7 @@
     private static final double DELETED_RETENTION_LEASES = 60;
 
     private final Map<String, Machine> machines = new LinkedHashMap<>();
+    private final MachineAddresses addresses = new MachineAddresses();
     private final ClusterState clusterState;
     private final MachineTypeCatalog catalog;
     private final EventLoop loop;
@@ -84,6 +86,7 @@
 
     private Machine newMachine(String name) {
         Machine machine = new Machine(name, term, loop.now());
+        addresses.added(machine);
         adoptImages(machine);
         return machine;
     }
@@ -95,7 +98,8 @@
     public Machine getOrAdd(Heartbeat heartbeat) {
         Machine machine = getOrAdd(heartbeat.machine());
         if (machine.type() == null || machine.address().isEmpty()) {
-            machine.describe(
+            describe(
+                    machine,
                     heartbeat.address(),
                     catalog.get(heartbeat.type()),
                     heartbeat.zone(),
@@ -104,8 +108,19 @@
         return machine;
     }
 
+    /**
+     * Sets the description that the cloud or the worker gives of a machine.
+     *
+     * @param type null if the cloud does not offer a type of that name
+     */
+    public void describe(
+            Machine machine, String address, MachineType type, String zone, boolean spot) {
+        machine.describe(addresses.assign(address, machine), type, zone, spot);
+    }
+
     /** Removes a machine that has been terminated. */
     public void remove(Machine machine) {
+        addresses.removed(machine);
         machines.remove(machine.name());
     }
 
--- a/src/main/java/org/springmill/control/cluster/Machine.java
+++ b/src/main/java/org/springmill/control/cluster/Machine.java
@@ -120,6 +120,11 @@
         allocation.setCapacity(newType);
     }
 
+    /** Records that another machine has its address now. */
+    void clearAddress() {
+        describe("", type(), zone(), spot());
+    }
+
     /** Address of its worker; empty while unknown. */
     public String address() {
         return description.address();
--- a/src/main/java/org/springmill/control/cluster/WorkerEpoch.java
+++ b/src/main/java/org/springmill/control/cluster/WorkerEpoch.java
@@ -62,6 +62,11 @@
         fencingToken++;
     }
 
+    /** Raises the token, if need be, above another one of this term. */
+    void raiseFencingTokenAbove(long token) {
+        fencingToken = Math.max(fencingToken, token + 1);
+    }
+
     /** Adopts a token of this term that a heartbeat carries, if it is higher. */
     public void adoptFencingToken(long seen) {
         fencingToken = Math.max(fencingToken, seen);
--- a/src/test/java/org/springmill/control/simulation/WorkerRestartDaysTest.java
+++ b/src/test/java/org/springmill/control/simulation/WorkerRestartDaysTest.java
@@ -14,9 +14,9 @@
 /**
  * Days drawn from a seed: workers' processes are replaced by new ones that know nothing, or only
  * their token, while controllers crash and are back soon, machines hang or get preemption notices,
- * jobs are cancelled, and copies of answered commands and of heartbeats arrive late. A longer run
- * by hand: {@code mvn test -Dtest=WorkerRestartDaysTest -Dspringmill.days=1000
- * -Dspringmill.firstSeed=5000}.
+ * jobs are cancelled, and copies of answered commands and of heartbeats arrive late. On every other
+ * day new machines get the addresses of machines that are gone. A longer run by hand: {@code mvn
+ * test -Dtest=WorkerRestartDaysTest -Dspringmill.days=1000 -Dspringmill.firstSeed=5000}.
  *
  * <p>Left out are copies of commands that reach a new process before it has seen any token: it
  * would obey them (docs/questions.md, 19). That lasts from its beginning until its first heartbeat
@@ -72,6 +72,9 @@
     void noTaskRunsTwiceOrAfterItsCancellation(long seed) {
         random = new SplittableRandom(seed);
         startCluster(seed);
+        if (seed % 2 == 0) {
+            cluster.cloud().reuseAddresses();
+        }
         cluster.network()
                 .duplicateCommands(this::isCopied, MAX_COPY_DELAY_SECONDS, this::isCopyDelivered);
         cluster.startPolling();
--- a/src/test/java/org/springmill/sim/SimCloud.java
+++ b/src/test/java/org/springmill/sim/SimCloud.java
@@ -4,6 +4,8 @@
 import com.fasterxml.jackson.databind.ObjectMapper;
 import com.fasterxml.jackson.databind.node.ArrayNode;
 import com.fasterxml.jackson.databind.node.ObjectNode;
+import java.util.ArrayDeque;
+import java.util.Deque;
 import java.util.HashMap;
 import java.util.HashSet;
 import java.util.LinkedHashMap;
@@ -39,6 +41,8 @@
     private final Map<String, Double> rentedAt = new HashMap<>();
     private final Map<String, Double> bootSecondsByZone = new HashMap<>();
     private int machinesAdded;
+    private boolean reusingAddresses;
+    private final Deque<String> freedAddresses = new ArrayDeque<>();
     private final Set<String> exhaustedZones = new HashSet<>();
     private boolean down;
 
@@ -49,6 +53,11 @@
         this.cluster = cluster;
     }
 
+    /** From now on new machines get the addresses of machines that are gone. */
+    public void reuseAddresses() {
+        reusingAddresses = true;
+    }
+
     /** From now on no machine can be rented. */
     public void exhaustCapacity() {
         exhaustedZones.addAll(SimSettings.ZONES);
@@ -99,6 +108,9 @@
         if (removed != null) {
             machinesByAddress.remove(removed.address());
             removed.destroy();
+            if (reusingAddresses) {
+                freedAddresses.add(removed.address());
+            }
         }
     }
 
@@ -113,8 +125,11 @@
 
     SimWorker add(String type, String zone, boolean spot, double bootSeconds) {
         String name = String.format("host-%06d", ++machinesAdded);
-        SimWorker worker =
-                new SimWorker(cluster, name, "10.1.0." + machinesAdded + ":9000", type, zone, spot);
+        String address =
+                freedAddresses.isEmpty()
+                        ? "10.1.0." + machinesAdded + ":9000"
+                        : freedAddresses.removeFirst();
+        SimWorker worker = new SimWorker(cluster, name, address, type, zone, spot);
         machines.put(name, worker);
         rentedAt.put(name, cluster.clock().now());
         machinesByAddress.put(worker.address(), worker);
