Tests share recording of commands, refusal of pages, hangs and crashes; a simulated task has a file of its own

Change: ClusterFixture records delivered requests, SimKeyValueStore refuses later pages of the job records, DrawnDaysFixture crashes controllers and hangs machines; SimTask is no longer inside SimWorker.

--- a/src/test/java/org/springmill/control/simulation/ClusterFixture.java
+++ b/src/test/java/org/springmill/control/simulation/ClusterFixture.java
@@ -4,9 +4,11 @@
 import static org.junit.jupiter.api.Assertions.assertNotEquals;
 
 import com.fasterxml.jackson.databind.node.ObjectNode;
+import java.util.ArrayList;
 import java.util.HashSet;
 import java.util.List;
 import java.util.Set;
+import java.util.function.Predicate;
 import org.junit.jupiter.api.AfterEach;
 import org.springmill.sim.SimNetwork.Delivery;
 import org.springmill.sim.SimWorker;
@@ -109,6 +111,20 @@
         cluster.partitionPeers(controllerInside, false);
     }
 
+    /** Delivers every message, and adds those that match to the returned list as they are sent. */
+    final List<Request> recordDelivered(Predicate<Request> kind) {
+        List<Request> delivered = new ArrayList<>();
+        cluster.network()
+                .setDeliveryRule(
+                        (from, request) -> {
+                            if (kind.test(request)) {
+                                delivered.add(request);
+                            }
+                            return Delivery.DELIVER;
+                        });
+        return delivered;
+    }
+
     /** From now on the network delivers every message. */
     final void deliverAllMessages() {
         cluster.network().setDeliveryRule((from, request) -> Delivery.DELIVER);
--- a/src/test/java/org/springmill/control/simulation/DelayedMessageTest.java
+++ b/src/test/java/org/springmill/control/simulation/DelayedMessageTest.java
@@ -7,9 +7,7 @@
 import static org.springmill.control.simulation.MessageMatchers.isStartCommand;
 import static org.springmill.control.simulation.MessageMatchers.text;
 
-import java.util.ArrayList;
 import java.util.List;
-import java.util.function.Predicate;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.EnumSource;
@@ -20,20 +18,6 @@
 
 /** Commands, reports and transactions that are delayed, duplicated or whose response is lost. */
 class DelayedMessageTest extends SingleFailureFixture {
-    /** Delivers every message, and adds those that match to the returned list as they are sent. */
-    private List<Request> recordDelivered(Predicate<Request> kind) {
-        List<Request> delivered = new ArrayList<>();
-        cluster.network()
-                .setDeliveryRule(
-                        (from, request) -> {
-                            if (kind.test(request)) {
-                                delivered.add(request);
-                            }
-                            return Delivery.DELIVER;
-                        });
-        return delivered;
-    }
-
     @ParameterizedTest
     @EnumSource(
             value = Delivery.class,
--- a/src/test/java/org/springmill/control/simulation/DrawnDaysFixture.java
+++ b/src/test/java/org/springmill/control/simulation/DrawnDaysFixture.java
@@ -3,6 +3,7 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.SplittableRandom;
+import org.springmill.sim.SimWorker;
 import org.springmill.sim.SimulatedCluster;
 
 /** What tests of days that are drawn from a seed have in common. */
@@ -15,6 +16,7 @@
 
     SplittableRandom random;
     private int submitted;
+    private double lastCrashOverAt = Double.NEGATIVE_INFINITY;
 
     final String nextId() {
         return String.format("run-%06d", ++submitted);
@@ -47,8 +49,32 @@
         }
     }
 
+    /** Ends a controller's process if it runs, and starts a new one within a drawn time. */
+    final void crashIfUp(int controller, double maxDownSeconds) {
+        if (controller >= 0 && cluster.isUp(controller)) {
+            crash(controller, random.nextDouble() * maxDownSeconds);
+        }
+    }
+
+    /** When the last crash of a controller is over; negative infinity before the first. */
+    final double lastCrashOverAt() {
+        return lastCrashOverAt;
+    }
+
+    /** Suspends a drawn machine for a drawn time. */
+    final void hangMachine(double maxHangSeconds) {
+        List<SimWorker> machines = machines();
+        if (machines.isEmpty()) {
+            return;
+        }
+        SimWorker machine = machines.get(random.nextInt(machines.size()));
+        machine.setHung(true);
+        cluster.clock().after(random.nextDouble() * maxHangSeconds, () -> machine.setHung(false));
+    }
+
     /** Ends a controller's process, and starts a new one later. */
     final void crash(int controller, double downSeconds) {
+        lastCrashOverAt = Math.max(lastCrashOverAt, cluster.clock().now() + downSeconds);
         cluster.kill(controller);
         cluster.clock().after(downSeconds, () -> startAgain(controller));
     }
--- a/src/test/java/org/springmill/control/simulation/HistoryListingTest.java
+++ b/src/test/java/org/springmill/control/simulation/HistoryListingTest.java
@@ -26,7 +26,7 @@
         submitJobs();
         int restarted = follower();
         cluster.restart(restarted);
-        refuseListingsAfter(restarted, pagesServed);
+        cluster.keyValueStore().refuseJobPagesAfter(restarted, pagesServed);
         archiveTheEndingJob();
         assertKnowsOnlyStoredRecords(restarted);
     }
@@ -37,7 +37,7 @@
         submitJobs();
         int restarted = follower();
         cluster.restart(restarted);
-        refuseListingsAfter(restarted, 1);
+        cluster.keyValueStore().refuseJobPagesAfter(restarted, 1);
         archiveTheEndingJob();
         for (int controller = 0; controller < CONTROLLERS; controller++) {
             if (controller != restarted) {
@@ -59,7 +59,7 @@
     @Test
     void aRecordOfAFailedLaterListingIsNotKeptOnceItIsArchived() {
         int lagging = follower();
-        refuseListingsAfter(lagging, 1);
+        cluster.keyValueStore().refuseJobPagesAfter(lagging, 1);
         cluster.network()
                 .setDeliveryRule(
                         (from, request) ->
@@ -83,21 +83,10 @@
         }
     }
 
-    /** Serves so many pages of a listing to a controller, and refuses all that follow. */
-    private void refuseListingsAfter(int controller, int pagesServed) {
-        int[] served = new int[1];
-        cluster.keyValueStore()
-                .refuseRequests(
-                        (from, request) ->
-                                MessageMatchers.fromController(from, controller)
-                                        && request.path().startsWith("/store?under=job/")
-                                        && ++served[0] > pagesServed);
-    }
-
     private void archiveTheEndingJob() {
         cluster.run(ENDS_AFTER_SECONDS);
         waitUntilMoved(ENDING);
-        cluster.keyValueStore().refuseRequests((from, request) -> false);
+        cluster.keyValueStore().serveRequests();
         cluster.run(10);
     }
 
--- a/src/test/java/org/springmill/control/simulation/HistoryPropertyTest.java
+++ b/src/test/java/org/springmill/control/simulation/HistoryPropertyTest.java
@@ -164,16 +164,10 @@
             List<ObjectNode> running = List.of(newJob(), newJob());
             running.forEach(job -> submit(other, job));
             int pagesServed = 1 + pick % MAX_PAGES_SERVED;
-            int[] served = new int[1];
-            cluster.keyValueStore()
-                    .refuseRequests(
-                            (from, request) ->
-                                    MessageMatchers.fromController(from, controller)
-                                            && request.path().startsWith("/store?under=job/")
-                                            && ++served[0] > pagesServed);
+            cluster.keyValueStore().refuseJobPagesAfter(controller, pagesServed);
             cluster.restart(controller);
             cluster.run(UNTIL_ARCHIVED_SECONDS);
-            cluster.keyValueStore().refuseRequests((from, request) -> false);
+            cluster.keyValueStore().serveRequests();
             cluster.run(UNTIL_LISTED_SECONDS);
             running.forEach(job -> query(other, idOf(job)));
             running.forEach(job -> query(controller, idOf(job)));
--- a/src/test/java/org/springmill/control/simulation/RefusedRequestDaysTest.java
+++ b/src/test/java/org/springmill/control/simulation/RefusedRequestDaysTest.java
@@ -16,7 +16,6 @@
 import org.springmill.control.storage.StoredLiveClaims;
 import org.springmill.protocol.OperatorSettings;
 import org.springmill.sim.SimOptions;
-import org.springmill.sim.SimWorker;
 import org.springmill.sim.SimulatedCluster;
 
 /**
@@ -113,10 +112,10 @@
     private void apply(Event event) {
         switch (event) {
             case REFUSE_REQUESTS -> refuseRequests();
-            case CRASH_LEADER -> crashIfUp(cluster.leader());
+            case CRASH_LEADER -> crashIfUp(cluster.leader(), MAX_DOWN_SECONDS);
             case REFUSE_THE_NEXT_LEADER -> refuseTheNextLeader();
-            case CRASH_ANY -> crashIfUp(drawController());
-            case HANG -> hangMachine();
+            case CRASH_ANY -> crashIfUp(drawController(), MAX_DOWN_SECONDS);
+            case HANG -> hangMachine(MAX_HANG_SECONDS);
             case SERVICES -> submitServices();
             case SHORT_JOBS -> runShortJobs();
             case CANCEL -> cancel();
@@ -133,27 +132,11 @@
 
     /** Refusals that begin while the next leader is elected or recovers. */
     private void refuseTheNextLeader() {
-        crashIfUp(cluster.leader());
+        crashIfUp(cluster.leader(), MAX_DOWN_SECONDS);
         cluster.run(random.nextDouble() * MAX_ELECTION_SECONDS);
         refuseRequests();
     }
 
-    private void crashIfUp(int controller) {
-        if (controller >= 0 && cluster.isUp(controller)) {
-            crash(controller, random.nextDouble() * MAX_DOWN_SECONDS);
-        }
-    }
-
-    private void hangMachine() {
-        List<SimWorker> machines = machines();
-        if (machines.isEmpty()) {
-            return;
-        }
-        SimWorker machine = machines.get(random.nextInt(machines.size()));
-        machine.setHung(true);
-        cluster.clock().after(random.nextDouble() * MAX_HANG_SECONDS, () -> machine.setHung(false));
-    }
-
     private void submitServices() {
         int number = 1 + random.nextInt(SERVICES_AT_ONCE);
         for (int service = 0; service < number; service++) {
--- a/src/test/java/org/springmill/control/simulation/ReusedAddressTest.java
+++ b/src/test/java/org/springmill/control/simulation/ReusedAddressTest.java
@@ -4,10 +4,8 @@
 import static org.junit.jupiter.api.Assertions.assertFalse;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
-import java.util.ArrayList;
 import java.util.List;
 import org.junit.jupiter.api.Test;
-import org.springmill.sim.SimNetwork.Delivery;
 import org.springmill.sim.SimWorker;
 import org.springmill.sim.SimulatedCluster;
 import org.springmill.transport.HttpClient.Request;
@@ -25,15 +23,7 @@
         startCluster(1);
         cluster.cloud().reuseAddresses();
         cluster.setImageFetchSeconds(0.1);
-        List<Request> starts = new ArrayList<>();
-        cluster.network()
-                .setDeliveryRule(
-                        (from, request) -> {
-                            if (MessageMatchers.isStartCommand(request)) {
-                                starts.add(request);
-                            }
-                            return Delivery.DELIVER;
-                        });
+        List<Request> starts = recordDelivered(MessageMatchers::isStartCommand);
         for (int number = 0; number < SHORT_JOBS; number++) {
             String id = String.format("run-00010%d", number);
             accept(SimulatedCluster.job(id, "blue", "sweep", 8, 2, 0), 1);
--- a/src/test/java/org/springmill/control/simulation/WorkerRestartDaysTest.java
+++ b/src/test/java/org/springmill/control/simulation/WorkerRestartDaysTest.java
@@ -43,9 +43,6 @@
     /** All direct commands so far. */
     private final List<Request> commands = new ArrayList<>();
 
-    /** When the last crash of a controller is over. */
-    private double crashedAt = Double.NEGATIVE_INFINITY;
-
     /** What happens at the beginning of a step. */
     private enum Event {
         RESTART_WORKER,
@@ -100,7 +97,8 @@
     private boolean isHeard(SimWorker machine) {
         double now = cluster.clock().now();
         boolean leaderInCharge =
-                cluster.controllersUp() == CONTROLLERS && now > crashedAt + ELECTED_WITHIN_SECONDS;
+                cluster.controllersUp() == CONTROLLERS
+                        && now > lastCrashOverAt() + ELECTED_WITHIN_SECONDS;
         boolean hasHadTime = now > machine.firstReplyAt() + HEARD_WITHIN_SECONDS;
         return !machine.hasSeenNoToken() || (leaderInCharge && hasHadTime);
     }
@@ -115,7 +113,7 @@
             }
             case CRASH_LEADER -> crashIfUp(cluster.leader(), MAX_DOWN_SECONDS);
             case CRASH_ANY -> crashIfUp(drawController(), MAX_DOWN_SECONDS);
-            case HANG -> hang(drawMachine());
+            case HANG -> hangMachine(MAX_HANG_SECONDS);
             case NOTICE -> drawMachine().givePreemptionNotice(NOTICE_SECONDS);
             case COPY_HEARTBEATS ->
                     cluster.network()
@@ -158,19 +156,6 @@
                         });
     }
 
-    private void crashIfUp(int controller, double maxDownSeconds) {
-        if (controller >= 0 && cluster.isUp(controller)) {
-            double downSeconds = random.nextDouble() * maxDownSeconds;
-            crashedAt = cluster.clock().now() + downSeconds;
-            crash(controller, downSeconds);
-        }
-    }
-
-    private void hang(SimWorker machine) {
-        machine.setHung(true);
-        cluster.clock().after(random.nextDouble() * MAX_HANG_SECONDS, () -> machine.setHung(false));
-    }
-
     private void loseCommandAnswers() {
         String address = drawMachine().address();
         cluster.network()
--- a/src/test/java/org/springmill/control/simulation/WorkerRestartTest.java
+++ b/src/test/java/org/springmill/control/simulation/WorkerRestartTest.java
@@ -4,7 +4,6 @@
 import static org.junit.jupiter.api.Assertions.assertFalse;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
-import java.util.ArrayList;
 import java.util.List;
 import java.util.function.Predicate;
 import org.junit.jupiter.api.BeforeEach;
@@ -12,7 +11,6 @@
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.EnumSource;
 import org.junit.jupiter.params.provider.ValueSource;
-import org.springmill.sim.SimNetwork.Delivery;
 import org.springmill.sim.SimWorker;
 import org.springmill.sim.SimWorker.Memory;
 import org.springmill.transport.HttpClient.Request;
@@ -28,21 +26,14 @@
     private static final double ELECTED_WITHIN_SECONDS = 3;
     private static final double RECOVERY_SECONDS = 20;
 
-    private final List<Request> commands = new ArrayList<>();
+    private List<Request> commands;
     private SimWorker machine;
 
     /** A service runs on one machine, and all direct commands are recorded. */
     @BeforeEach
     void startService() {
         startCluster(1);
-        cluster.network()
-                .setDeliveryRule(
-                        (from, request) -> {
-                            if (MessageMatchers.isCommand(request)) {
-                                commands.add(request);
-                            }
-                            return Delivery.DELIVER;
-                        });
+        commands = recordDelivered(MessageMatchers::isCommand);
         acceptService(JOB, "blue", 1, 1);
         cluster.run(5);
         machine = cluster.workerRunning(FIRST_TASK);
--- a/src/test/java/org/springmill/sim/BorrowingChecker.java
+++ b/src/test/java/org/springmill/sim/BorrowingChecker.java
@@ -50,28 +50,28 @@
     private final Map<String, List<JsonNode>> recallsByVictim = new HashMap<>();
 
     private final Set<String> recallKeys = new HashSet<>();
-    private final Set<SimWorker.Task> checkedHalts = new HashSet<>();
+    private final Set<SimTask> checkedHalts = new HashSet<>();
 
     /** Tasks on machines at the last check. */
-    private Map<String, SimWorker.Task> tasksAtLastCheck = new HashMap<>();
+    private Map<String, SimTask> tasksAtLastCheck = new HashMap<>();
 
     /** When tasks that were neither halted nor over vanished from their machines. */
-    private final Map<SimWorker.Task, Double> vanishedAt = new HashMap<>();
+    private final Map<SimTask, Double> vanishedAt = new HashMap<>();
 
     /** When tasks were halted on machines with a preemption notice. */
-    private final Map<SimWorker.Task, Double> haltedForNoticeAt = new HashMap<>();
+    private final Map<SimTask, Double> haltedForNoticeAt = new HashMap<>();
 
     /** When each recall was last found in the key-value store. */
     private final Map<String, Double> lastStoredAt = new HashMap<>();
 
     /** Tasks that were halted for their own team's work, with the key of the recall. */
-    private final Map<SimWorker.Task, String> recallsByOwnTeam = new HashMap<>();
+    private final Map<SimTask, String> recallsByOwnTeam = new HashMap<>();
 
     private boolean drainingAllowed;
     private int haltsForOthers;
     private long samples;
 
-    private record Halt(SimWorker machine, SimWorker.Task task) {}
+    private record Halt(SimWorker machine, SimTask task) {}
 
     /** Starts the checks of a cluster. */
     public BorrowingChecker(SimulatedCluster cluster) {
@@ -189,9 +189,9 @@
 
     private void recordVanishedTasks() {
         double now = cluster.clock().now();
-        Map<String, SimWorker.Task> seen = new HashMap<>();
+        Map<String, SimTask> seen = new HashMap<>();
         for (SimWorker machine : cluster.cloud().machines().values()) {
-            for (SimWorker.Task task : machine.tasks()) {
+            for (SimTask task : machine.tasks()) {
                 seen.put(task.id + "#" + task.attempt, task);
             }
         }
@@ -210,7 +210,7 @@
     private void checkHalts() {
         List<Halt> newHalts = new ArrayList<>();
         for (SimWorker machine : cluster.cloud().machines().values()) {
-            for (SimWorker.Task task : machine.tasks()) {
+            for (SimTask task : machine.tasks()) {
                 boolean halted = task.haltedAt < Double.POSITIVE_INFINITY;
                 if (!halted || cancelled(task) || !checkedHalts.add(task)) {
                     continue;
@@ -245,7 +245,7 @@
         teams.forEach(this::checkGuarantee);
     }
 
-    private boolean cancelled(SimWorker.Task task) {
+    private boolean cancelled(SimTask task) {
         JobHistory job = cluster.invariants().job(task.id);
         return job == null || job.cancelledBy(cluster.clock().now()) || job.cancelRequested();
     }
@@ -265,10 +265,10 @@
      */
     private void checkGuarantee(String name) {
         TeamUsage remaining = TeamUsage.NONE;
-        Set<SimWorker.Task> counted = new HashSet<>(tasksAtLastCheck.values());
+        Set<SimTask> counted = new HashSet<>(tasksAtLastCheck.values());
         counted.addAll(vanishedAt.keySet());
         counted.addAll(recallsByOwnTeam.keySet());
-        for (SimWorker.Task task : counted) {
+        for (SimTask task : counted) {
             boolean counts =
                     haltedForNoticeAt.containsKey(task)
                             || isReplacedByOwnTeam(task)
@@ -293,7 +293,7 @@
      * Whether a task was preempted by its own team's work, for which its capacity is still
      * reserved.
      */
-    private boolean isReplacedByOwnTeam(SimWorker.Task task) {
+    private boolean isReplacedByOwnTeam(SimTask task) {
         Double lastRecorded = lastStoredAt.get(recallsByOwnTeam.getOrDefault(task, ""));
         return lastRecorded != null && cluster.clock().now() - lastRecorded < MAX_START_SECONDS;
     }
@@ -318,7 +318,7 @@
             return;
         }
         double gpus = reserved;
-        for (SimWorker.Task task : machine.tasks()) {
+        for (SimTask task : machine.tasks()) {
             boolean releasesGpus =
                     task.over()
                             || task.haltedAt < Double.POSITIVE_INFINITY
--- a/src/test/java/org/springmill/sim/InvariantChecker.java
+++ b/src/test/java/org/springmill/sim/InvariantChecker.java
@@ -104,7 +104,7 @@
     }
 
     /** Checks a task that starts on a machine. */
-    void started(SimWorker machine, SimWorker.Task task) {
+    void started(SimWorker machine, SimTask task) {
         checkRunsOnce(machine, task.id);
         JobHistory job = jobs.ofTask(task.id);
         if (job == null) {
@@ -147,7 +147,7 @@
     private Map<String, TeamUsage> checkMachines() {
         Map<String, TeamUsage> used = new HashMap<>();
         for (SimWorker machine : cloud.machines().values()) {
-            for (SimWorker.Task task : machine.tasks()) {
+            for (SimTask task : machine.tasks()) {
                 JobHistory job = jobs.ofTask(task.id);
                 if (task.onMachine() && job != null) {
                     used.merge(
@@ -162,7 +162,7 @@
         return used;
     }
 
-    private void checkNotCancelled(JobHistory job, SimWorker.Task task, SimWorker machine) {
+    private void checkNotCancelled(JobHistory job, SimTask task, SimWorker machine) {
         if (job.cancelledBy(clock.now() - SimSettings.CANCEL_SECONDS)) {
             violations.add(Rule.RAN_CANCELLED, task.id + " on " + machine.name());
         }
--- a/src/test/java/org/springmill/sim/PlacementRules.java
+++ b/src/test/java/org/springmill/sim/PlacementRules.java
@@ -97,7 +97,7 @@
         double cpus = type.cpus() - job.path("vcpus").asDouble();
         double gpus = type.gpus() - job.path("cards").asDouble();
         double memoryGb = type.memoryGb() - job.path("memGb").asDouble();
-        for (SimWorker.Task task : machine.tasks()) {
+        for (SimTask task : machine.tasks()) {
             JobHistory other = jobs.ofTask(task.id);
             if (!task.over() && other != null) {
                 cpus -= other.job().path("vcpus").asDouble();
--- a/src/test/java/org/springmill/sim/SimKeyValueStore.java
+++ b/src/test/java/org/springmill/sim/SimKeyValueStore.java
@@ -103,6 +103,25 @@
         refuseRequests((from, request) -> random.nextDouble() < share);
     }
 
+    /**
+     * Serves so many pages of the job records to a controller from now on, and refuses all that
+     * follow until another rule is set.
+     */
+    public void refuseJobPagesAfter(int controller, int pagesServed) {
+        String name = SimSettings.controllerName(controller);
+        int[] served = new int[1];
+        refuseRequests(
+                (from, request) ->
+                        from.equals(name)
+                                && request.path().startsWith("/store?under=job/")
+                                && ++served[0] > pagesServed);
+    }
+
+    /** Refuses no single requests any more. */
+    public void serveRequests() {
+        refusalRule = NONE_REFUSED;
+    }
+
     void endFailures() {
         delayedCommitShare = 0;
         refusalRule = NONE_REFUSED;
--- a/src/test/java/org/springmill/sim/SimProgress.java
+++ b/src/test/java/org/springmill/sim/SimProgress.java
@@ -85,7 +85,7 @@
     }
 
     /** Records that a task has saved the work that it had done at {@code stoppedAt}. */
-    void saved(SimWorker.Task task, double stoppedAt) {
+    void saved(SimTask task, double stoppedAt) {
         savedSeconds.merge(task.id, stoppedAt - task.runningSince, Double::sum);
     }
 
@@ -93,7 +93,7 @@
      * Records that a task ended without a save: its work since its last checkpoint is lost.
      * Services are not counted.
      */
-    void killed(SimWorker.Task task, double now) {
+    void killed(SimTask task, double now) {
         JsonNode spec = spec(task.id);
         if (spec == null || spec.path("shape").asText().equals("service")) {
             return;
--- a/src/test/java/org/springmill/sim/SimWorker.java
+++ b/src/test/java/org/springmill/sim/SimWorker.java
@@ -17,42 +17,13 @@
 public final class SimWorker {
     private static final ObjectMapper JSON = new ObjectMapper();
 
-    /** A task on this machine. */
-    static final class Task {
-        final String id;
-        final long attempt;
-        final double commandedAt;
-        String phase = "pulling";
-        String cause;
-
-        /** When it started to run here, from its last checkpoint; NaN before. */
-        double runningSince = Double.NaN;
-
-        /** When the first halt command for it was executed; infinite if none was. */
-        double haltedAt = Double.POSITIVE_INFINITY;
-
-        Task(String id, long attempt, double commandedAt) {
-            this.id = id;
-            this.attempt = attempt;
-            this.commandedAt = commandedAt;
-        }
-
-        boolean onMachine() {
-            return phase.equals("running") || phase.equals("saving");
-        }
-
-        boolean over() {
-            return phase.equals("ended");
-        }
-    }
-
     private final SimulatedCluster cluster;
     private final String name;
     private final String address;
     private final String type;
     private final String zone;
     private final boolean spot;
-    private final Map<String, Task> tasks = new LinkedHashMap<>();
+    private final Map<String, SimTask> tasks = new LinkedHashMap<>();
     private long epoch = 1;
     private long sequence;
     private long token;
@@ -130,7 +101,9 @@
 
     /** The number of tasks that run here or save a checkpoint. */
     public int running() {
-        return isLeaseExpired() ? 0 : (int) tasks.values().stream().filter(Task::onMachine).count();
+        return isLeaseExpired()
+                ? 0
+                : (int) tasks.values().stream().filter(SimTask::onMachine).count();
     }
 
     /** Whether a task runs here or saves a checkpoint. */
@@ -249,7 +222,7 @@
     /** Ends all tasks without a save; their work since their last checkpoints is lost. */
     private void killTasks() {
         tasks.values().stream()
-                .filter(Task::onMachine)
+                .filter(SimTask::onMachine)
                 .forEach(task -> cluster.progress().killed(task, cluster.clock().now()));
         tasks.clear();
     }
@@ -286,7 +259,7 @@
             body.put("warningS", noticeSeconds);
         }
         ArrayNode sacks = body.putArray("sacks");
-        for (Task task : tasks.values()) {
+        for (SimTask task : tasks.values()) {
             ObjectNode sack =
                     sacks.addObject()
                             .put("sack", task.id)
@@ -384,11 +357,11 @@
             String id = order.path("sack").asText();
             long attempt = order.path("try").asLong();
             String key = id + '#' + attempt;
-            Task task = tasks.get(key);
+            SimTask task = tasks.get(key);
             switch (order.path("verb").asText()) {
                 case "start" -> {
                     if (task == null) {
-                        start(key, new Task(id, attempt, cluster.clock().now()));
+                        start(key, new SimTask(id, attempt, cluster.clock().now()));
                     }
                 }
                 case "halt" -> {
@@ -410,7 +383,7 @@
      * enough. A task that is saving already continues unless the grace period is 0. All other tasks
      * end immediately.
      */
-    private void halt(String key, Task task, double graceSeconds) {
+    private void halt(String key, SimTask task, double graceSeconds) {
         double now = cluster.clock().now();
         task.haltedAt = Math.min(task.haltedAt, now);
         if (task.phase.equals("saving")) {
@@ -444,14 +417,14 @@
         }
     }
 
-    private void stop(Task task, double now) {
+    private void stop(SimTask task, double now) {
         if (task.onMachine()) {
             cluster.progress().killed(task, now);
         }
         end(task, "stopped");
     }
 
-    private void start(String key, Task task) {
+    private void start(String key, SimTask task) {
         boolean busy =
                 tasks.values().stream()
                         .anyMatch(t -> t.id.equals(task.id) && !t.phase.equals("ended"));
@@ -495,7 +468,7 @@
                         });
     }
 
-    private void finish(String key, Task task) {
+    private void finish(String key, SimTask task) {
         if (tasks.get(key) == task && task.phase.equals("running")) {
             boolean failed = fails(task);
             end(task, failed ? "error" : "done");
@@ -506,16 +479,16 @@
         }
     }
 
-    private boolean fails(Task task) {
+    private boolean fails(SimTask task) {
         return failingAllTasks || cluster.isBroken(task.id);
     }
 
-    private static void end(Task task, String cause) {
+    private static void end(SimTask task, String cause) {
         task.phase = "ended";
         task.cause = cause;
     }
 
-    List<Task> tasks() {
+    List<SimTask> tasks() {
         return isLeaseExpired() ? List.of() : List.copyOf(tasks.values());
     }
 }
--- a/src/test/java/org/springmill/sim/SimulatedCluster.java
+++ b/src/test/java/org/springmill/sim/SimulatedCluster.java
@@ -404,7 +404,7 @@
                 .put("stashS", 0.0);
     }
 
-    void started(SimWorker machine, SimWorker.Task task) {
+    void started(SimWorker machine, SimTask task) {
         starts.merge(task.id, 1, Integer::sum);
         invariants.started(machine, task);
     }
