The attempts and reported tasks of a machine in a class of their own

Change: MachineTasks holds the attempts on a machine, the tasks that its worker reports, and what both take of its resources. Behaviour is as it was.

--- a/src/main/java/org/springmill/control/cluster/Machine.java
+++ b/src/main/java/org/springmill/control/cluster/Machine.java
@@ -2,17 +2,13 @@
 
 import java.util.ArrayList;
 import java.util.Collection;
-import java.util.LinkedHashMap;
 import java.util.List;
-import java.util.Map;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
 import org.slf4j.event.Level;
 import org.springmill.protocol.CloudMessages.MachineType;
-import org.springmill.protocol.HeartbeatSize;
 import org.springmill.protocol.Resources;
 import org.springmill.protocol.Submission;
-import org.springmill.protocol.TaskId;
 import org.springmill.protocol.WorkerMessages.Heartbeat;
 import org.springmill.protocol.WorkerMessages.TaskStatus;
 
@@ -49,11 +45,11 @@
     }
 
     private final String name;
-    private final Map<TaskId, TaskAttempt> attempts = new LinkedHashMap<>();
     private final ImageCache images = new ImageCache();
     private final MachineAllocation allocation = new MachineAllocation();
     private final MachineFaults faults = new MachineFaults();
     private final WorkerLiveness liveness = new WorkerLiveness();
+    private final MachineTasks tasks;
     private final CommandChannel commandChannel = new CommandChannel();
     private final WorkerEpoch workerEpoch;
     private final double firstSeenAt;
@@ -62,10 +58,7 @@
     private double rentedAt;
     private boolean isListedAsBooted;
     private double listedAt = Double.NEGATIVE_INFINITY;
-    private double idleSince;
     private double preemptionAt = Double.POSITIVE_INFINITY;
-    private List<TaskStatus> reportedTasks = List.of();
-    private boolean areReportedTasksKnown = true;
     private boolean isDraining;
 
     /**
@@ -78,7 +71,7 @@
         workerEpoch = new WorkerEpoch(term);
         this.firstSeenAt = now;
         this.rentedAt = now;
-        this.idleSince = now;
+        tasks = new MachineTasks(allocation, images, now);
     }
 
     /** The name that the cloud gave it. */
@@ -160,7 +153,7 @@
      * as running or failed, and it has no attempt.
      */
     public boolean isBooting() {
-        return state == State.PROVISIONING && !isListedAsBooted && attempts.isEmpty();
+        return state == State.PROVISIONING && !isListedAsBooted && tasks.attempts().isEmpty();
     }
 
     /** Records that the cloud's list names it. */
@@ -185,7 +178,7 @@
 
     /** When its last attempt was removed; if it never had one, when this leader learned of it. */
     public double idleSince() {
-        return idleSince;
+        return tasks.idleSince();
     }
 
     /** The state of sending commands to its worker. */
@@ -217,36 +210,16 @@
             faults.commandsSucceeded();
         }
         liveness.heartbeatReceived(source, now);
-        reportedTasks = heartbeat.tasks();
-        areReportedTasksKnown = false;
-        allocation.setUncleared(unclearedBytes());
+        tasks.reported(heartbeat.tasks());
         preemptionAt =
                 heartbeat.preemptionNoticeSeconds() == null
                         ? Double.POSITIVE_INFINITY
                         : now + heartbeat.preemptionNoticeSeconds();
     }
 
-    /** Bytes of the reported tasks that no attempt accounts for, or only a released one. */
-    private double unclearedBytes() {
-        double bytes = 0;
-        for (TaskStatus status : reportedTasks) {
-            if (findAttempt(status) == null) {
-                bytes += HeartbeatSize.maxBytes(status.task());
-            }
-        }
-        for (TaskAttempt attempt : attempts.values()) {
-            bytes += attempt.isReleased() ? heartbeatBytes(attempt) : 0;
-        }
-        return bytes;
-    }
-
-    private static double heartbeatBytes(TaskAttempt attempt) {
-        return HeartbeatSize.maxBytes(attempt.job().spec());
-    }
-
     /** The tasks in its latest heartbeat. */
     public List<TaskStatus> reportedTasks() {
-        return reportedTasks;
+        return tasks.reported();
     }
 
     /**
@@ -254,12 +227,12 @@
      * have changed since: another comparison would find nothing new.
      */
     public boolean areReportedTasksKnown() {
-        return areReportedTasksKnown;
+        return tasks.areReportedKnown();
     }
 
     /** Records that every reported task has an attempt in the cluster state. */
     public void markReportedTasksKnown() {
-        areReportedTasksKnown = true;
+        tasks.markReportedKnown();
     }
 
     /** When heartbeats of its worker arrived and were answered. */
@@ -335,25 +308,22 @@
 
     /** A live view of its attempts, in the order in which they were added. */
     public Collection<TaskAttempt> attempts() {
-        return attempts.values();
+        return tasks.attempts();
     }
 
     /** A copy of {@link #attempts}, for loops that change them. */
     public List<TaskAttempt> attemptsSnapshot() {
-        return new ArrayList<>(attempts.values());
+        return new ArrayList<>(tasks.attempts());
     }
 
     /** The attempt that a reported task belongs to; null if there is none. */
     public TaskAttempt findAttempt(TaskStatus task) {
-        TaskAttempt attempt = attempts.get(task.task());
-        return attempt != null && attempt.claim().round() == task.attempt() ? attempt : null;
+        return tasks.findAttempt(task);
     }
 
     /** Adds an attempt and allocates its resources. */
     public void add(TaskAttempt attempt) {
-        areReportedTasksKnown = false;
-        attempts.put(attempt.claim().task(), attempt);
-        allocation.charge(attempt.job().spec(), 1);
+        tasks.add(attempt);
     }
 
     /**
@@ -361,44 +331,11 @@
      * its end and the claims that use its resources. The heartbeats carry it for longer.
      */
     public void releaseResources(TaskAttempt attempt) {
-        if (!attempt.isReleased() && attempts.get(attempt.claim().task()) == attempt) {
-            attempt.markReleased();
-            allocation.charge(attempt.job().spec(), -1);
-            allocation.addUncleared(heartbeatBytes(attempt));
-        }
+        tasks.releaseResources(attempt);
     }
 
     void remove(TaskAttempt attempt, double now) {
-        if (!attempts.remove(attempt.claim().task(), attempt)) {
-            return;
-        }
-        areReportedTasksKnown = false;
-        releaseRemoved(attempt);
-        String image = attempt.job().spec().image();
-        if (attempt.runningSince() == 0 && !hasAttemptWithImage(image)) {
-            images.cancelFetch(image, now);
-        }
-        if (attempts.isEmpty()) {
-            idleSince = now;
-            allocation.reset();
-        }
-    }
-
-    /** Its worker reports a task that has ended until the command to forget it arrives. */
-    private void releaseRemoved(TaskAttempt removed) {
-        if (removed.isReleased()) {
-            allocation.addUncleared(-heartbeatBytes(removed));
-        } else {
-            allocation.charge(removed.job().spec(), -1);
-        }
-        if (removed.lastReportedAt() >= liveness.lastHeartbeatAt()) {
-            allocation.addUncleared(heartbeatBytes(removed));
-        }
-    }
-
-    private boolean hasAttemptWithImage(String image) {
-        return attempts.values().stream()
-                .anyMatch(attempt -> attempt.job().spec().image().equals(image));
+        tasks.remove(attempt, liveness.lastHeartbeatAt(), now);
     }
 
     /** CPUs that are not allocated to attempts. */
