A heartbeat without a token is always checked for a new process

Cause: two processes of one worker followed each other within half a heartbeat interval. The second was not asked, since the worker had been asked just before, and its heartbeat without a token had been answered too lately to be answered again. So it obeyed copies for a second.

Evidence, simulated: WorkerRestartTest.eachOfSeveralNewProcessesGetsATokenWithItsFirstHeartbeat failed before,

process 1 ==> expected: <false> but was: <true>

A worker sends a heartbeat twice a second at most, so the checks stay bounded.

--- a/src/main/java/org/springmill/control/workers/CommandDispatcher.java
+++ b/src/main/java/org/springmill/control/workers/CommandDispatcher.java
@@ -124,17 +124,19 @@
      * the token, so that a new process refuses copies of all earlier commands, and its next
      * heartbeat shows the same as the answer.
      *
-     * @param epoch of the heartbeat that may be of a new process
+     * <p>A heartbeat without a token is always checked: there are few, and its worker obeys any
+     * command until then.
+     *
+     * @param heartbeat that may be of a new process
      */
-    void checkProcess(Machine machine, long epoch) {
-        boolean mayCheck =
-                !closed
-                        && !machine.address().isEmpty()
-                        && machine.commandChannel()
+    void checkProcess(Machine machine, Heartbeat heartbeat) {
+        boolean isDue =
+                heartbeat.fencingToken() == 0
+                        || machine.commandChannel()
                                 .beginProcessCheck(fleet.now(), resendIntervalSeconds);
-        if (mayCheck) {
+        if (isDue && !closed && !machine.address().isEmpty()) {
             machine.workerEpoch().challenge();
-            post(machine, epoch, List.of(), this::handleProcessCheck);
+            post(machine, heartbeat.epoch(), List.of(), this::handleProcessCheck);
         }
     }
 
--- a/src/main/java/org/springmill/control/workers/HeartbeatHandler.java
+++ b/src/main/java/org/springmill/control/workers/HeartbeatHandler.java
@@ -80,7 +80,7 @@
             return;
         }
         if (machine.workerEpoch().hasLostToken(heartbeat)) {
-            dispatcher.checkProcess(machine, heartbeat.epoch());
+            dispatcher.checkProcess(machine, heartbeat);
         }
         if (term.isActive()) {
             reconciliation.acceptHeartbeat(machine, heartbeat);
@@ -105,7 +105,7 @@
      */
     private void respondToEarlier(Call call, Machine machine, Heartbeat heartbeat) {
         double intervalSeconds = TOKEN_ANSWER_INTERVAL_LEASES * timeouts.workerLeaseSeconds();
-        dispatcher.checkProcess(machine, heartbeat.epoch());
+        dispatcher.checkProcess(machine, heartbeat);
         if (heartbeat.fencingToken() == 0
                 && machine.commandChannel().beginTokenAnswer(loop.now(), intervalSeconds)) {
             answer(call, machine, List.of());
--- a/src/test/java/org/springmill/control/simulation/WorkerRestartTest.java
+++ b/src/test/java/org/springmill/control/simulation/WorkerRestartTest.java
@@ -160,6 +160,16 @@
         assertEquals(2, cluster.starts(FIRST_TASK));
     }
 
+    /** The same for each of several new processes that follow each other at once. */
+    @Test
+    void eachOfSeveralNewProcessesGetsATokenWithItsFirstHeartbeat() {
+        for (int process = 0; process < 5; process++) {
+            machine.restartProcess(Memory.NOTHING, 0);
+            cluster.run(HEARD_WITHIN_SECONDS);
+            assertFalse(machine.hasSeenNoToken(), "process " + process);
+        }
+    }
+
     /** The leader gives a new process its token as soon as it is heard. */
     @Test
     void aNewProcessGetsATokenWithItsFirstHeartbeat() {
