One throttle in place of two, and positions of messages compared in one place

CommandChannel had the same throttle twice, WorkerEpoch compared positions by hand beside MessagePosition, two overloads of WorkerRestarts asked different questions under one name, and tests repeated steps. Behaviour is as it was.

--- a/src/main/java/org/springmill/control/cluster/CommandChannel.java
+++ b/src/main/java/org/springmill/control/cluster/CommandChannel.java
@@ -7,8 +7,8 @@
 public final class CommandChannel {
     private boolean requestInFlight;
     private boolean statusRequested;
-    private double nextProcessCheckAt = Double.NEGATIVE_INFINITY;
-    private double nextTokenAnswerAt = Double.NEGATIVE_INFINITY;
+    private final Throttle processChecks = new Throttle();
+    private final Throttle tokenAnswers = new Throttle();
     private double nextRequestAt;
     private double nextUnknownTaskCleanupAt;
 
@@ -22,28 +22,14 @@
         return statusRequested;
     }
 
-    /**
-     * Whether the worker may be asked now whether its process was replaced. If so, it may not be
-     * asked for the same reason again before the interval is over.
-     */
-    public boolean beginProcessCheck(double now, double intervalSeconds) {
-        boolean mayCheck = now >= nextProcessCheckAt;
-        if (mayCheck) {
-            nextProcessCheckAt = now + intervalSeconds;
-        }
-        return mayCheck;
+    /** Limits the questions whether the worker's process was replaced. */
+    public Throttle processChecks() {
+        return processChecks;
     }
 
-    /**
-     * Whether a heartbeat without a token may be answered now although it may be a delayed
-     * duplicate. If so, no other one may before the interval is over.
-     */
-    public boolean beginTokenAnswer(double now, double intervalSeconds) {
-        boolean mayAnswer = now >= nextTokenAnswerAt;
-        if (mayAnswer) {
-            nextTokenAnswerAt = now + intervalSeconds;
-        }
-        return mayAnswer;
+    /** Limits the answers to heartbeats without a token that may be delayed duplicates. */
+    public Throttle tokenAnswers() {
+        return tokenAnswers;
     }
 
     /** Whether a request was sent that has neither been answered nor timed out. */
--- a/src/main/java/org/springmill/control/cluster/MessagePosition.java
+++ b/src/main/java/org/springmill/control/cluster/MessagePosition.java
@@ -10,6 +10,13 @@
  * @param sequence number of the message, which counts on across epochs
  */
 public record MessagePosition(long processToken, long epoch, long sequence) {
+    /** The later one of this position and another of the same process. */
+    MessagePosition latest(MessagePosition other) {
+        boolean isOtherLater =
+                other.epoch > epoch || (other.epoch == epoch && other.sequence > sequence);
+        return isOtherLater ? other : this;
+    }
+
     /**
      * Whether a message that is known to have been made after the one at this position had arrived
      * is of another process: one of the same process would come later in the order. The answer to a
--- a/src/main/java/org/springmill/control/cluster/WorkerEpoch.java
+++ b/src/main/java/org/springmill/control/cluster/WorkerEpoch.java
@@ -118,13 +118,9 @@
 
     /** The place of the newest message that has arrived in the order of a process's messages. */
     public MessagePosition latestPosition() {
-        boolean isHeartbeatLater =
-                lastHeartbeatEpoch > epoch
-                        || (lastHeartbeatEpoch == epoch
-                                && lastHeartbeatSequence > lastAcceptedSequence);
-        return isHeartbeatLater
-                ? new MessagePosition(processToken, lastHeartbeatEpoch, lastHeartbeatSequence)
-                : new MessagePosition(processToken, epoch, lastAcceptedSequence);
+        MessagePosition accepted = new MessagePosition(processToken, epoch, lastAcceptedSequence);
+        return accepted.latest(
+                new MessagePosition(processToken, lastHeartbeatEpoch, lastHeartbeatSequence));
     }
 
     /** Whether no restart of the worker has been noticed since a position was taken. */
--- a/src/main/java/org/springmill/control/workers/CommandDispatcher.java
+++ b/src/main/java/org/springmill/control/workers/CommandDispatcher.java
@@ -133,7 +133,8 @@
         boolean isDue =
                 heartbeat.fencingToken() == 0
                         || machine.commandChannel()
-                                .beginProcessCheck(fleet.now(), resendIntervalSeconds);
+                                .processChecks()
+                                .tryAcquire(fleet.now(), resendIntervalSeconds);
         if (isDue && !closed && !machine.address().isEmpty()) {
             machine.workerEpoch().challenge();
             post(machine, heartbeat.epoch(), List.of(), this::handleProcessCheck);
--- a/src/main/java/org/springmill/control/workers/HeartbeatHandler.java
+++ b/src/main/java/org/springmill/control/workers/HeartbeatHandler.java
@@ -107,7 +107,9 @@
         double intervalSeconds = TOKEN_ANSWER_INTERVAL_LEASES * timeouts.workerLeaseSeconds();
         dispatcher.checkProcess(machine, heartbeat);
         if (heartbeat.fencingToken() == 0
-                && machine.commandChannel().beginTokenAnswer(loop.now(), intervalSeconds)) {
+                && machine.commandChannel()
+                        .tokenAnswers()
+                        .tryAcquire(loop.now(), intervalSeconds)) {
             answer(call, machine, List.of());
         } else {
             refuse(call, UNAVAILABLE);
--- a/src/main/java/org/springmill/control/workers/Reconciliation.java
+++ b/src/main/java/org/springmill/control/workers/Reconciliation.java
@@ -97,14 +97,14 @@
      */
     public void acceptAnswer(Machine machine, Heartbeat answer, MessagePosition latestBefore) {
         if (!showsLaterTerm(machine, answer)
-                && !restarts.isNoticed(machine, answer, latestBefore)) {
+                && !restarts.isNoticedInAnswer(machine, answer, latestBefore)) {
             accept(machine, answer, HeartbeatSource.COMMAND_RESPONSE);
         }
     }
 
     /** Whether a heartbeat shows that the worker's process has been replaced by another one. */
     public boolean noticesRestart(Machine machine, Heartbeat heartbeat) {
-        return restarts.isNoticed(machine, heartbeat);
+        return restarts.isNoticedInHeartbeat(machine, heartbeat);
     }
 
     private boolean showsLaterTerm(Machine machine, Heartbeat heartbeat) {
--- a/src/main/java/org/springmill/control/workers/WorkerRestarts.java
+++ b/src/main/java/org/springmill/control/workers/WorkerRestarts.java
@@ -33,7 +33,7 @@
      *
      * @param latestBefore the place of the newest message that had arrived before the request
      */
-    boolean isNoticed(Machine machine, Heartbeat answer, MessagePosition latestBefore) {
+    boolean isNoticedInAnswer(Machine machine, Heartbeat answer, MessagePosition latestBefore) {
         boolean isOfAnother =
                 latestBefore.isOfAnotherProcess(answer)
                         || machine.workerEpoch().hasLostToken(answer);
@@ -47,7 +47,7 @@
     }
 
     /** Whether a heartbeat shows that the worker's process has been replaced. */
-    boolean isNoticed(Machine machine, Heartbeat heartbeat) {
+    boolean isNoticedInHeartbeat(Machine machine, Heartbeat heartbeat) {
         boolean isNoticed = machine.workerEpoch().isOfNewProcess(heartbeat);
         if (isNoticed) {
             recordRestart(machine, heartbeat, machine.workerEpoch().latestPosition());
--- a/src/test/java/org/springmill/control/simulation/HistoryArchivingTest.java
+++ b/src/test/java/org/springmill/control/simulation/HistoryArchivingTest.java
@@ -221,13 +221,7 @@
     void recordsMovedWhileAControllerMissedTooManyChangesAreRemovedThere() {
         runToEnd(DONE);
         int lagging = follower();
-        cluster.network()
-                .setDeliveryRule(
-                        (from, request) ->
-                                MessageMatchers.fromController(from, lagging)
-                                                && request.path().startsWith("/changes?under=job/")
-                                        ? Delivery.DROP
-                                        : Delivery.DELIVER);
+        dropJobChangesFor(lagging);
         waitUntilMoved(DONE);
         assertEquals(1, gauge(lagging, "jobs"));
         cluster.keyValueStore().dropWatchHistory();
--- a/src/test/java/org/springmill/control/simulation/HistoryFixture.java
+++ b/src/test/java/org/springmill/control/simulation/HistoryFixture.java
@@ -119,6 +119,17 @@
         return request.path().startsWith("/store/ended/");
     }
 
+    /** Drops a controller's watches and barriers on the job records; delivers everything else. */
+    final void dropJobChangesFor(int controller) {
+        cluster.network()
+                .setDeliveryRule(
+                        (from, request) ->
+                                MessageMatchers.fromController(from, controller)
+                                                && request.path().startsWith("/changes?under=job/")
+                                        ? Delivery.DROP
+                                        : Delivery.DELIVER);
+    }
+
     /** What happens to moves from now on; everything else is delivered. */
     final void setFateOfMoves(Delivery fate) {
         cluster.network()
--- a/src/test/java/org/springmill/control/simulation/HistoryListingTest.java
+++ b/src/test/java/org/springmill/control/simulation/HistoryListingTest.java
@@ -5,7 +5,6 @@
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.ValueSource;
-import org.springmill.sim.SimNetwork.Delivery;
 
 /**
  * A controller is refused in the middle of a listing of the job records; a record that it has
@@ -60,13 +59,7 @@
     void aRecordOfAFailedLaterListingIsNotKeptOnceItIsArchived() {
         int lagging = follower();
         cluster.keyValueStore().refuseJobPagesAfter(lagging, 1);
-        cluster.network()
-                .setDeliveryRule(
-                        (from, request) ->
-                                MessageMatchers.fromController(from, lagging)
-                                                && request.path().startsWith("/changes?under=job/")
-                                        ? Delivery.DROP
-                                        : Delivery.DELIVER);
+        dropJobChangesFor(lagging);
         cluster.run(20);
         submitJobs();
         cluster.keyValueStore().dropWatchHistory();
--- a/src/test/java/org/springmill/control/simulation/WorkerRestartDaysTest.java
+++ b/src/test/java/org/springmill/control/simulation/WorkerRestartDaysTest.java
@@ -13,10 +13,11 @@
 
 /**
  * Days drawn from a seed: workers' processes are replaced by new ones that know nothing, or only
- * their token, while controllers crash and are back soon, machines hang or get preemption notices,
- * jobs are cancelled, and copies of answered commands and of heartbeats arrive late. On every other
- * day new machines get the addresses of machines that are gone. A longer run by hand: {@code mvn
- * test -Dtest=WorkerRestartDaysTest -Dspringmill.days=1000 -Dspringmill.firstSeed=5000}.
+ * their token or session, while controllers crash and are back soon, machines hang or get
+ * preemption notices, jobs are cancelled, and copies of answered commands and of heartbeats arrive
+ * late. On every other day new machines get the addresses of machines that are gone. A longer run
+ * by hand: {@code mvn test -Dtest=WorkerRestartDaysTest -Dspringmill.days=1000
+ * -Dspringmill.firstSeed=5000}.
  *
  * <p>Left out are copies of commands that reach a new process before it has seen any token: it
  * would obey them (docs/questions.md, 19). That lasts from its beginning until its first heartbeat
--- a/src/test/java/org/springmill/control/simulation/WorkerRestartTest.java
+++ b/src/test/java/org/springmill/control/simulation/WorkerRestartTest.java
@@ -24,6 +24,7 @@
     private static final double HEARD_WITHIN_SECONDS = 0.6;
     private static final double NOTICE_SECONDS = 60;
     private static final double ELECTED_WITHIN_SECONDS = 3;
+    private static final double LEADER_DOWN_SECONDS = 0.3;
     private static final double RECOVERY_SECONDS = 20;
 
     private List<Request> commands;
@@ -51,6 +52,21 @@
                 .forEach(cluster.network()::deliverAgain);
     }
 
+    /** Delivers copies of all starts, and checks how often the task has been started in the end. */
+    private void assertStartsAfterCopies(int expected) {
+        deliverStartsAgain();
+        cluster.run(RECOVERY_SECONDS);
+        assertEquals(expected, cluster.starts(FIRST_TASK));
+    }
+
+    /** The leader's process ends, and is back within a second. */
+    private void restartLeader() {
+        int leader = cluster.leader();
+        cluster.kill(leader);
+        cluster.run(LEADER_DOWN_SECONDS);
+        cluster.restart(leader);
+    }
+
     /** The task runs on another machine, after a preemption notice for the first. */
     private void moveTask() {
         machine.givePreemptionNotice(NOTICE_SECONDS);
@@ -67,9 +83,7 @@
         moveTask();
         machine.restartProcess(memory, 0);
         cluster.run(NOTICED_WITHIN_SECONDS);
-        deliverStartsAgain();
-        cluster.run(RECOVERY_SECONDS);
-        assertEquals(2, cluster.starts(FIRST_TASK));
+        assertStartsAfterCopies(2);
     }
 
     /** The same with a leader that is back within a second, under a new term. */
@@ -77,14 +91,9 @@
     void aCopiedStartOfAMovedTaskStartsNothingAfterALeaderRestartEither() {
         moveTask();
         machine.restartProcess(Memory.NOTHING, 0);
-        int leader = cluster.leader();
-        cluster.kill(leader);
-        cluster.run(0.3);
-        cluster.restart(leader);
+        restartLeader();
         cluster.run(ELECTED_WITHIN_SECONDS);
-        deliverStartsAgain();
-        cluster.run(RECOVERY_SECONDS);
-        assertEquals(2, cluster.starts(FIRST_TASK));
+        assertStartsAfterCopies(2);
     }
 
     /** Guards against a start after the confirmation of a cancellation. */
@@ -95,9 +104,7 @@
         assertTrue(machine.up());
         machine.restartProcess(Memory.NOTHING, 0);
         cluster.run(NOTICED_WITHIN_SECONDS);
-        deliverStartsAgain();
-        cluster.run(RECOVERY_SECONDS);
-        assertEquals(1, cluster.starts(FIRST_TASK));
+        assertStartsAfterCopies(1);
     }
 
     /** A new process has no tasks: they run again soon, not only once a lease has expired. */
@@ -150,14 +157,9 @@
     @ValueSource(doubles = {0, 0.05, 0.3, 1, 5})
     void copiesOfAnEarlierTermDoNothingWhileTheProcessLives(double secondsAfterRestart) {
         moveTask();
-        int leader = cluster.leader();
-        cluster.kill(leader);
-        cluster.run(0.3);
-        cluster.restart(leader);
+        restartLeader();
         cluster.run(secondsAfterRestart);
-        deliverStartsAgain();
-        cluster.run(RECOVERY_SECONDS);
-        assertEquals(2, cluster.starts(FIRST_TASK));
+        assertStartsAfterCopies(2);
     }
 
     /** The same for each of several new processes that follow each other at once. */
@@ -208,8 +210,6 @@
     void aCopiedStartBeforeTheFirstHeartbeatOfANewProcessStartsNothing() {
         moveTask();
         machine.restartProcess(Memory.NOTHING, 3);
-        deliverStartsAgain();
-        cluster.run(RECOVERY_SECONDS);
-        assertEquals(2, cluster.starts(FIRST_TASK));
+        assertStartsAfterCopies(2);
     }
 }
